--- /dev/null
+++ b/packages/core/include/tarragondrift/core/result_code.h
@@ -0,0 +1,123 @@
+// The numbered result codes of the whole system; docs/RESULT_CODES.md is their
+// table.
+#ifndef TARRAGONDRIFT_CORE_RESULT_CODE_H_
+#define TARRAGONDRIFT_CORE_RESULT_CODE_H_
+
+#include <boost/outcome/result.hpp>
+#include <boost/outcome/success_failure.hpp>
+#include <cstdint>
+#include <span>
+#include <string_view>
+#include <system_error>
+
+namespace tarragondrift {
+
+/// Every outcome that a caller, an operator or a peer can be told.
+enum class result_code : uint16_t {
+  kOk = 0,
+
+  // 1xx: the request itself is wrong; nothing was run.
+  kMalformedRequest = 100,
+  kRequestTooLarge = 101,
+  kUnknownUpstream = 102,
+  kUnknownContract = 103,
+  kUnknownTeam = 104,
+  kDuplicateTaskName = 105,
+  kInvalidDuration = 106,
+  kInvalidSubmissionId = 107,
+  kContentMismatch = 108,
+  kUnauthorized = 109,
+  kNotFound = 110,
+  kTooManyTasks = 111,
+
+  // 2xx: refused before the first start; nothing was run ("not run" is true).
+  kNotRunOverloaded = 200,
+  kNotRunDeadline = 201,
+  kNotRunQuota = 202,
+  kNotRunDraining = 203,
+  kNotRunCancelled = 204,
+  kNotRunStoreUnavailable = 205,
+  kNotRunNoInstance = 206,
+  kNotRunNoConfig = 207,
+  kNotRunRecorded = 208,
+  kNotRunStaleId = 209,
+
+  // 3xx: the job failed whole after at least one start.
+  kTaskFailed = 300,
+  kCancelledAfterStart = 301,
+  kDeadlineExceeded = 302,
+  kTaskOutcomeUnknown = 303,
+  kStoppedAfterStart = 304,
+
+  // 4xx: what became of the submission cannot be told here.
+  kOutcomeUnknown = 400,
+  kOwnerUnreachable = 401,
+  kAnswerExpired = 402,
+  kOwnerGone = 403,
+
+  // 5xx: the platform.
+  kStoreUnavailable = 500,
+  kStoreConflict = 501,
+  kStoreUnknown = 502,
+  kStoreThrottled = 503,
+
+  // 6xx: configuration.
+  kConfigInvalid = 600,
+  kConfigConflict = 601,
+  kConfigDigestUnknown = 602,
+  kConfigOutcomeUnknown = 603,
+
+  // 7xx: links between processes.
+  kPeerUnreachable = 700,
+  kUpstreamUnreachable = 701,
+  kUpstreamRefused = 702,
+  kUpstreamFailed = 703,
+  kUpstreamTimeout = 704,
+
+  // 9xx: defects.
+  kInternal = 900,
+};
+
+/// One row of the table of result codes.
+struct result_code_info {
+  result_code code;
+  std::string_view name;
+  /// What happened, in one sentence.
+  std::string_view cause;
+  /// What whoever receives it should do.
+  std::string_view remedy;
+  /// The HTTP status that carries it.
+  uint16_t http_status;
+};
+
+/// Lists every result code in ascending order.
+/// @return a view of a constant table.
+std::span<const result_code_info> ResultCodeTable();
+
+/// Finds the table row of a code.
+/// @return the row; of kInternal when the number is not in the table.
+const result_code_info& DescribeResultCode(result_code code);
+
+/// Tells whether a code promises that no task of the submission was started.
+bool PromisesNotRun(result_code code);
+
+/// The category under which result codes travel as std::error_code.
+const std::error_category& ResultCategory();
+
+/// Makes a std::error_code of a result code; found by argument lookup.
+std::error_code make_error_code(result_code code);  // NOLINT: standard's name
+
+/// A value or the numbered code that says why there is none.
+template <class T>
+using result =
+    boost::outcome_v2::basic_result<T, result_code,
+                                    boost::outcome_v2::policy::terminate>;
+
+namespace outcome = boost::outcome_v2;
+
+}  // namespace tarragondrift
+
+template <>
+struct std::is_error_code_enum<tarragondrift::result_code> : std::true_type {};
+
+#endif  // TARRAGONDRIFT_CORE_RESULT_CODE_H_
