--- a/packages/fakes/src/fake_http_server.cc
+++ b/packages/fakes/src/fake_http_server.cc
@@ -13,7 +13,7 @@
 namespace {
 
 constexpr unsigned kMostConnections = 8'000;
-constexpr size_t kThreadStackBytes = 256U * 1'024U;
+constexpr size_t kThreadStackBytes = size_t{256} << 10U;
 constexpr unsigned kListenBacklog = 1'024;
 
 /// A request that is still being received.
--- a/packages/fakes/src/flags.cc
+++ b/packages/fakes/src/flags.cc
@@ -23,6 +23,7 @@
 std::optional<std::vector<flag_value>> ReadFlags(
     int count, char** arguments, const std::vector<std::string>& names) {
   std::vector<option> options;
+  options.reserve(names.size() + 1);
   for (const std::string& name : names) {
     options.push_back({name.c_str(), required_argument, nullptr, 1});
   }
--- a/packages/platform/src/http_client.cc
+++ b/packages/platform/src/http_client.cc
@@ -60,8 +60,8 @@
 
 /// Initialises libcurl once in the process.
 void InitialiseLibrary() {
-  static const CURLcode kInitialised = curl_global_init(CURL_GLOBAL_DEFAULT);
-  static_cast<void>(kInitialised);
+  static const CURLcode initialised = curl_global_init(CURL_GLOBAL_DEFAULT);
+  static_cast<void>(initialised);
 }
 
 /// Adds one line to a list of headers.
--- a/packages/platform/test/platform_client_test.cc
+++ b/packages/platform/test/platform_client_test.cc
@@ -134,12 +134,12 @@
 TEST_CASE_METHOD(platform_fixture,
                  "a write whose reply is lost is unknown and left one effect") {
   // The first write leaves a kept connection: a client that repeated the
-  // second one on a fresh connection would report a conflict.
+  // second one on a fresh connection would write the row twice.
   REQUIRE(Insert("kept", "connection"));
   platform.SetFault(fake_service::kTable, fault_mode::kReplyLost);
-  CHECK(CodeOf(Insert("a", "one")) == result_code::kStoreUnknown);
   CHECK(CodeOf(table->Write({{.key = "kept", .value = "changed"}})) ==
         result_code::kStoreUnknown);
+  CHECK(CodeOf(Insert("a", "one")) == result_code::kStoreUnknown);
   platform.SetFault(fake_service::kTable, fault_mode::kNone);
   CHECK(table->Get("a").value().version == 1);
   CHECK(table->Get("kept").value().version == 2);
