Configuration document as text and in the platform's table

Operators need one document that is tried, then promoted unchanged.

A write whose reply is lost is sent again as it was: the condition on the head row lets it take effect once at most, and a conflict then proves that no delayed copy can still apply. A change that is merely not seen is reported as unknown, never as refused. A repeated command with the version it stood on meets its own earlier outcome, also after another operator's change.

--- /dev/null
+++ b/packages/config/src/config_store.cc
@@ -0,0 +1,395 @@
+#include "tarragondrift/config/config_store.h"
+
+#include <algorithm>
+#include <array>
+#include <boost/outcome/try.hpp>
+#include <nlohmann/json.hpp>
+#include <set>
+#include <utility>
+
+namespace tarragondrift {
+namespace {
+
+using nlohmann::json;
+
+/// Times a write whose outcome is unknown is sent again.
+constexpr uint32_t kMostWriteAttempts = 4;
+/// Width of a version in a key, so that keys sort by version.
+constexpr size_t kVersionDigits = 20;
+
+constexpr std::array kEnvironments = {environment::kTrial,
+                                      environment::kProduction};
+
+std::string HeadKey(environment where) {
+  return "config/" + std::string(EnvironmentName(where)) + "/head";
+}
+
+std::string HistoryPrefix(environment where) {
+  return "config/" + std::string(EnvironmentName(where)) + "/history/";
+}
+
+std::string HistoryKey(environment where, uint64_t version) {
+  const std::string digits = std::to_string(version);
+  return HistoryPrefix(where) +
+         std::string(kVersionDigits - digits.size(), '0') + digits;
+}
+
+std::string DocumentPrefix() { return "config/document/"; }
+
+std::string DocumentKey(const std::string& digest) {
+  return DocumentPrefix() + digest;
+}
+
+std::string FormatHead(const config_head& head) {
+  const auto at_ms = std::chrono::duration_cast<std::chrono::milliseconds>(
+      head.at.time_since_epoch());
+  return json{{"version", head.version},
+              {"digest", head.digest},
+              {"by", head.by},
+              {"at_ms", at_ms.count()},
+              {"operation", head.operation}}
+      .dump();
+}
+
+result<config_head> ParseHead(const std::string& text) {
+  try {
+    const json row = json::parse(text);
+    return config_head{
+        .version = row.at("version").get<uint64_t>(),
+        .digest = row.at("digest").get<std::string>(),
+        .by = row.at("by").get<std::string>(),
+        .at = std::chrono::system_clock::time_point(
+            std::chrono::milliseconds(row.at("at_ms").get<int64_t>())),
+        .operation = row.at("operation").get<std::string>()};
+  } catch (const json::exception&) {
+    return result_code::kInternal;
+  }
+}
+
+/// A head together with the version of its row, for compare-and-set.
+struct head_row {
+  config_head head;
+  /// 0 when there is no row.
+  uint64_t row_version = 0;
+};
+
+result<head_row> ReadHeadRow(table_port& table, environment where) {
+  const result<table_row> row = table.Get(HeadKey(where));
+  if (row.has_error()) {
+    if (row.assume_error() == result_code::kNotFound) {
+      return head_row{};
+    }
+    return row.assume_error();
+  }
+  BOOST_OUTCOME_TRY(head, ParseHead(row.assume_value().value));
+  return head_row{.head = std::move(head),
+                  .row_version = row.assume_value().version};
+}
+
+result<config_head> ReadHistoryRow(table_port& table, environment where,
+                                   uint64_t version) {
+  BOOST_OUTCOME_TRY(row, table.Get(HistoryKey(where, version)));
+  return ParseHead(row.value);
+}
+
+change_outcome Refuse(result_code code) { return change_outcome{.code = code}; }
+
+change_outcome ReportConflict(config_head winner) {
+  return change_outcome{.code = result_code::kConfigConflict,
+                        .head = std::move(winner)};
+}
+
+/// Reports an accepted change; `latest` is what is in force now.
+change_outcome ReportAccepted(config_head accepted, const config_head& latest,
+                              bool changed) {
+  change_outcome ended{.code = result_code::kOk,
+                       .head = std::move(accepted),
+                       .changed = changed};
+  if (latest.version > ended.head.version) {
+    ended.replaced_by = latest;
+  }
+  return ended;
+}
+
+/// The change that this command would make, and what it stands on.
+struct proposal {
+  environment where = environment::kTrial;
+  head_row base;
+  config_head next;
+  std::string text;
+};
+
+/// The writes of a change: the document too, so that no prune can take it
+/// away between its reading and the change.
+std::vector<table_write> MakeWrites(const proposal& change) {
+  const std::string row = FormatHead(change.next);
+  return {table_write{.key = HeadKey(change.where),
+                      .value = row,
+                      .expected_version = change.base.row_version},
+          table_write{.key = HistoryKey(change.where, change.next.version),
+                      .value = row},
+          table_write{.key = DocumentKey(change.next.digest),
+                      .value = change.text}};
+}
+
+/// Finds out whose change has the proposal's version.
+change_outcome ResolveConflict(table_port& table, const proposal& change,
+                               bool maybe_applied) {
+  const result_code unreadable = maybe_applied
+                                     ? result_code::kConfigOutcomeUnknown
+                                     : result_code::kConfigConflict;
+  const result<head_row> latest = ReadHeadRow(table, change.where);
+  if (latest.has_error()) {
+    return Refuse(unreadable);
+  }
+  const result<config_head> winner =
+      ReadHistoryRow(table, change.where, change.next.version);
+  if (winner.has_error()) {
+    return Refuse(unreadable);
+  }
+  if (winner.assume_value().operation == change.next.operation) {
+    return ReportAccepted(change.next, latest.assume_value().head, true);
+  }
+  return ReportConflict(winner.assume_value());
+}
+
+/// Reads back after writes whose outcome stayed unknown. Only presence proves
+/// anything: a write that is not seen may still be on its way.
+change_outcome ReadBack(table_port& table, const proposal& change) {
+  const result<head_row> latest = ReadHeadRow(table, change.where);
+  if (latest.has_value() &&
+      latest.assume_value().head.version >= change.next.version) {
+    return ResolveConflict(table, change, true);
+  }
+  return Refuse(result_code::kConfigOutcomeUnknown);
+}
+
+/// Writes a change. One with an unknown outcome is sent again as it was: the
+/// condition on the head row lets it take effect once at most, and a conflict
+/// then proves that no earlier copy can still do so.
+change_outcome CommitChange(table_port& table, const proposal& change) {
+  bool maybe_applied = false;
+  result_code last = result_code::kInternal;
+  for (uint32_t attempt = 0; attempt < kMostWriteAttempts; ++attempt) {
+    const result<void> written = table.Write(MakeWrites(change));
+    if (written.has_value()) {
+      return ReportAccepted(change.next, change.next, true);
+    }
+    last = written.assume_error();
+    if (last == result_code::kStoreConflict) {
+      return ResolveConflict(table, change, maybe_applied);
+    }
+    maybe_applied = maybe_applied || last == result_code::kStoreUnknown;
+    if (!maybe_applied) {
+      return Refuse(last);
+    }
+  }
+  return ReadBack(table, change);
+}
+
+/// Tells whether the operator's own words are fit to be stored.
+bool IsWellFormed(const config_change& change) {
+  constexpr size_t kMostOperationBytes = 64;
+  return !change.by.empty() && change.by.size() <= kMostOperatorBytes &&
+         !change.operation.empty() &&
+         change.operation.size() <= kMostOperationBytes;
+}
+
+/// Answers a command whose expected version was passed already: with its own
+/// earlier outcome, or with the winner.
+change_outcome AnswerOvertaken(table_port& table, environment where,
+                               const config_head& latest, uint64_t expected,
+                               const std::string& digest,
+                               const config_change& change) {
+  if (latest.version < expected) {
+    return ReportConflict(latest);
+  }
+  const result<config_head> winner = ReadHistoryRow(table, where, expected + 1);
+  if (winner.has_error()) {
+    return ReportConflict(latest);
+  }
+  const config_head& next = winner.assume_value();
+  if (next.by == change.by && next.digest == digest) {
+    return ReportAccepted(next, latest, false);
+  }
+  return ReportConflict(next);
+}
+
+/// Carries out a change of one environment by compare-and-set on its head.
+change_outcome ChangeHead(table_port& table, environment where,
+                          const std::string& text, const std::string& digest,
+                          const config_change& change) {
+  const result<head_row> base = ReadHeadRow(table, where);
+  if (base.has_error()) {
+    return Refuse(base.assume_error());
+  }
+  const config_head& latest = base.assume_value().head;
+  if (latest.operation == change.operation) {
+    return ReportAccepted(latest, latest, false);
+  }
+  const uint64_t expected = change.expected_version.value_or(latest.version);
+  if (expected != latest.version) {
+    return AnswerOvertaken(table, where, latest, expected, digest, change);
+  }
+  if (latest.digest == digest) {
+    return ReportAccepted(latest, latest, false);
+  }
+  return CommitChange(
+      table, proposal{.where = where,
+                      .base = base.assume_value(),
+                      .next = config_head{.version = latest.version + 1,
+                                          .digest = digest,
+                                          .by = change.by,
+                                          .at = change.at,
+                                          .operation = change.operation},
+                      .text = text});
+}
+
+/// Adds the digests of an environment's kept history to `used` and deletes the
+/// rows before it.
+result<uint32_t> PruneEnvironment(table_port& table, environment where,
+                                  uint64_t keep, std::set<std::string>& used) {
+  BOOST_OUTCOME_TRY(rows, table.List(HistoryPrefix(where)));
+  BOOST_OUTCOME_TRY(latest, ReadHead(table, where));
+  used.insert(latest.digest);
+  uint32_t deleted = 0;
+  for (const table_row& row : rows) {
+    BOOST_OUTCOME_TRY(head, ParseHead(row.value));
+    if (head.version + keep > latest.version) {
+      used.insert(head.digest);
+      continue;
+    }
+    BOOST_OUTCOME_TRY(table.Write({table_write{.key = row.key,
+                                               .value = {},
+                                               .expected_version = row.version,
+                                               .erase = true}}));
+    ++deleted;
+  }
+  return deleted;
+}
+
+}  // namespace
+
+std::string_view EnvironmentName(environment where) {
+  return where == environment::kTrial ? "trial" : "production";
+}
+
+result<environment> ParseEnvironment(std::string_view name) {
+  for (const environment where : kEnvironments) {
+    if (EnvironmentName(where) == name) {
+      return where;
+    }
+  }
+  return result_code::kMalformedRequest;
+}
+
+change_outcome TryDocument(table_port& table, const std::string& text,
+                           const config_change& change) {
+  if (!IsWellFormed(change)) {
+    return Refuse(result_code::kMalformedRequest);
+  }
+  parsed_config parsed = ParseConfigDocument(text);
+  if (!parsed.Valid()) {
+    return change_outcome{.code = result_code::kConfigInvalid,
+                          .errors = std::move(parsed.errors)};
+  }
+  return ChangeHead(table, environment::kTrial, text, parsed.document.digest,
+                    change);
+}
+
+change_outcome PromoteDocument(table_port& table, const std::string& digest,
+                               const config_change& change) {
+  if (!IsWellFormed(change)) {
+    return Refuse(result_code::kMalformedRequest);
+  }
+  const result<std::string> text = ReadDocument(table, digest);
+  if (text.has_error()) {
+    return Refuse(text.assume_error());
+  }
+  parsed_config parsed = ParseConfigDocument(text.assume_value());
+  if (!parsed.Valid()) {
+    return change_outcome{.code = result_code::kConfigInvalid,
+                          .errors = std::move(parsed.errors)};
+  }
+  return ChangeHead(table, environment::kProduction, text.assume_value(),
+                    digest, change);
+}
+
+result<config_head> ReadHead(table_port& table, environment where) {
+  BOOST_OUTCOME_TRY(row, ReadHeadRow(table, where));
+  return std::move(row.head);
+}
+
+result<std::string> ReadDocument(table_port& table, const std::string& digest) {
+  result<table_row> row = table.Get(DocumentKey(digest));
+  if (row.has_error()) {
+    return row.assume_error() == result_code::kNotFound
+               ? result_code::kConfigDigestUnknown
+               : row.assume_error();
+  }
+  if (DigestConfigText(row.assume_value().value) != digest) {
+    return result_code::kInternal;
+  }
+  return std::move(row.assume_value().value);
+}
+
+result<config_document> LoadDocument(table_port& table,
+                                     const config_head& head) {
+  BOOST_OUTCOME_TRY(text, ReadDocument(table, head.digest));
+  parsed_config parsed = ParseConfigDocument(text);
+  if (!parsed.Valid()) {
+    return result_code::kConfigInvalid;
+  }
+  parsed.document.version = head.version;
+  return std::move(parsed.document);
+}
+
+result<std::vector<config_head>> ReadHistory(table_port& table,
+                                             environment where, uint32_t most) {
+  BOOST_OUTCOME_TRY(latest, ReadHead(table, where));
+  std::vector<config_head> history;
+  for (uint64_t version = latest.version; version > 0 && history.size() < most;
+       --version) {
+    result<config_head> head = ReadHistoryRow(table, where, version);
+    if (head.has_error()) {
+      if (head.assume_error() == result_code::kNotFound) {
+        break;
+      }
+      return head.assume_error();
+    }
+    history.push_back(std::move(head.assume_value()));
+  }
+  return history;
+}
+
+result<uint32_t> PruneHistory(table_port& table, uint64_t keep) {
+  // Documents are listed first: a change after that rewrites its document's
+  // row, so that the conditional delete below leaves it alone.
+  BOOST_OUTCOME_TRY(documents, table.List(DocumentPrefix()));
+  std::set<std::string> used;
+  uint32_t deleted = 0;
+  for (const environment where : kEnvironments) {
+    BOOST_OUTCOME_TRY(
+        rows,
+        PruneEnvironment(table, where, std::max<uint64_t>(keep, 1), used));
+    deleted += rows;
+  }
+  for (const table_row& row : documents) {
+    if (used.contains(row.key.substr(DocumentPrefix().size()))) {
+      continue;
+    }
+    const result<void> erased =
+        table.Write({table_write{.key = row.key,
+                                 .value = {},
+                                 .expected_version = row.version,
+                                 .erase = true}});
+    if (erased.has_value()) {
+      ++deleted;
+    } else if (erased.assume_error() != result_code::kStoreConflict) {
+      return erased.assume_error();
+    }
+  }
+  return deleted;
+}
+
+}  // namespace tarragondrift
