Dispatcher: fair small-first queue, learned estimates, health, quotas, sampled placement

Cause: the first dispatcher scanned a FIFO queue and every instance, and took declared times as they were.

--- a/packages/core/include/tarragondrift/core/dispatch_base.h
+++ b/packages/core/include/tarragondrift/core/dispatch_base.h
@@ -5,14 +5,17 @@
 
 #include <chrono>
 #include <cstdint>
-#include <deque>
 #include <random>
 #include <string>
 #include <unordered_map>
 #include <vector>
 
+#include "tarragondrift/core/estimate_base.h"
+#include "tarragondrift/core/health_base.h"
 #include "tarragondrift/core/job_base.h"
 #include "tarragondrift/core/pool.h"
+#include "tarragondrift/core/queue_base.h"
+#include "tarragondrift/core/retry_base.h"
 #include "tarragondrift/core/time_base.h"
 
 namespace tarragondrift {
@@ -31,17 +34,26 @@
   /// Attempts of this entry that are running there.
   uint32_t in_flight = 0;
   bool leaving = false;
+  instance_health health;
+  /// Place in open_instances::open, or kNotOpen.
+  uint32_t open_at = kNotOpen;
+  /// What open_instances::slots counts of it.
+  uint32_t counted = 0;
+
+  static constexpr uint32_t kNotOpen = 0xffffffffU;
 };
 
-/// A task that waits, with all that its order depends on.
-struct queued_task {
-  task_ref task;
-  upstream_id upstream;
-  team_id team;
-  contract_id contract;
-  std::chrono::microseconds declared{0};
-  instant enqueued;
-  instant deadline;
+/// The instances of one upstream that can take an attempt now.
+struct open_instances {
+  std::vector<instance_id> open;
+  /// Shares of all instances that get work.
+  uint32_t slots = 0;
+  uint32_t instances = 0;
+  uint32_t ejected = 0;
+  uint32_t in_flight = 0;
+  uint32_t next = 0;
+  /// Since when no instance has been there.
+  instant none_since;
 };
 
 /// One decision: this task goes to this instance now.
@@ -50,17 +62,49 @@
   instance_id instance;
 };
 
+/// How an instance is chosen among those with a free slot.
+enum class placement_rule : uint8_t {
+  /// The better of two sampled ones.
+  kTwoChoices,
+  /// The best of all.
+  kLeastLoaded,
+  kRandom,
+  kRoundRobin,
+};
+
 /// Options of a dispatcher.
 struct dispatch_options {
   /// Seeds the choices among instances.
   uint64_t seed = 1;
+  queue_order order = queue_order::kFairSmallFirst;
+  placement_rule placement = placement_rule::kTwoChoices;
+  health_options health;
+  /// Corrects declared times by observed ones.
+  bool learn = true;
+  /// Refuses jobs that cannot be answered in time.
+  bool shed = true;
+  /// Ejects instances that fail and passes over slow ones.
+  bool watch_health = true;
+  /// Share of a deadline that the expected answer may take, in percent.
+  uint32_t deadline_use_percent = 80;
+  /// How long jobs wait for a first instance before they are refused.
+  std::chrono::milliseconds instance_wait{5'000};
 };
 
 /// All that one entry's dispatch decisions depend on.
 struct dispatcher {
   dispatch_options options;
   pool<upstream_instance, instance_id> instances;
-  std::deque<queued_task> queue;
+  std::unordered_map<std::string, instance_id> addresses;
+  std::vector<open_instances> upstreams;
+  task_queue queue;
+  std::vector<contract_estimate> contracts;
+  std::vector<failure_rate> failures;
+  retry_budget retries;
+  /// Entries among which the ceilings of teams are divided.
+  uint32_t entries = 1;
+  instant ticked;
+  uint32_t next_upstream = 0;
   std::mt19937_64 random;
 };
 
--- a/packages/core/include/tarragondrift/core/dispatch_cmd.h
+++ b/packages/core/include/tarragondrift/core/dispatch_cmd.h
@@ -2,6 +2,7 @@
 #ifndef TARRAGONDRIFT_CORE_DISPATCH_CMD_H_
 #define TARRAGONDRIFT_CORE_DISPATCH_CMD_H_
 
+#include <chrono>
 #include <optional>
 #include <span>
 #include <string>
@@ -58,6 +59,23 @@
 /// Counts the waiting tasks.
 size_t QueuedTasks(const dispatcher& state);
 
+/// Counts the waiting tasks of one upstream.
+size_t QueuedTasks(const dispatcher& state, upstream_id upstream);
+
+/// Counts the free slots of one upstream that this entry may use now.
+uint32_t FreeSlots(const dispatcher& state, upstream_id upstream);
+
+/// Tells how long a refused job should wait before it is sent again.
+std::chrono::milliseconds RetryAfter(const dispatcher& state,
+                                     const job_request& request, instant now);
+
+/// Asks whether an attempt may be repeated; only where its contract allows it.
+/// @return false when the budget of repeated attempts is used up.
+bool TakeRetry(dispatcher& state);
+
+/// Sets the number of live entries that share the teams' ceilings.
+void SetEntryCount(dispatcher& state, uint32_t entries, instant now);
+
 }  // namespace tarragondrift
 
 #endif  // TARRAGONDRIFT_CORE_DISPATCH_CMD_H_
--- /dev/null
+++ b/packages/core/include/tarragondrift/core/retry_cmd.h
@@ -0,0 +1,18 @@
+// Commands on the retry budget.
+#ifndef TARRAGONDRIFT_CORE_RETRY_CMD_H_
+#define TARRAGONDRIFT_CORE_RETRY_CMD_H_
+
+#include "tarragondrift/core/retry_base.h"
+
+namespace tarragondrift {
+
+/// Earns for one first attempt.
+void EarnRetry(retry_budget& budget);
+
+/// Spends one repeated attempt.
+/// @return false when the budget does not allow it; nothing is spent then.
+bool SpendRetry(retry_budget& budget);
+
+}  // namespace tarragondrift
+
+#endif  // TARRAGONDRIFT_CORE_RETRY_CMD_H_
--- a/packages/core/src/dispatch_cmd.cc
+++ b/packages/core/src/dispatch_cmd.cc
@@ -2,32 +2,233 @@
 
 #include <algorithm>
 #include <cassert>
+#include <map>
+
+#include "tarragondrift/core/estimate_cmd.h"
+#include "tarragondrift/core/health_cmd.h"
+#include "tarragondrift/core/placement_cmd.h"
+#include "tarragondrift/core/queue_cmd.h"
+#include "tarragondrift/core/quota_cmd.h"
+#include "tarragondrift/core/retry_cmd.h"
 
 namespace tarragondrift {
 namespace {
 
-/// Tells whether an instance can take one more attempt for an upstream.
-bool HasFreeSlot(const upstream_instance& instance, upstream_id upstream) {
-  return instance.upstream == upstream && !instance.leaving &&
-         instance.in_flight < instance.share;
-}
-
-/// Finds the instance with the most free slots for an upstream.
-instance_id LeastLoaded(const dispatcher& state, upstream_id upstream) {
-  instance_id best;
-  uint32_t most_free = 0;
-  state.instances.ForEach(
-      [&](instance_id id, const upstream_instance& instance) {
-        if (!HasFreeSlot(instance, upstream)) {
-          return;
-        }
-        const uint32_t free = instance.share - instance.in_flight;
-        if (free > most_free) {
-          most_free = free;
-          best = id;
-        }
-      });
-  return best;
+using std::chrono::microseconds;
+using std::chrono::milliseconds;
+
+constexpr int64_t kPercent = 100;
+
+template <class Element, class Tag>
+Element& At(std::vector<Element>& elements, typed_id<Tag> id) {
+  const uint32_t index = id.Valid() ? id.index : 0;
+  if (index >= elements.size()) {
+    elements.resize(index + 1);
+  }
+  return elements[index];
+}
+
+/// Estimates a task's running time by what is known of its contract.
+microseconds Estimate(const dispatcher& state, contract_id contract,
+                      microseconds declared) {
+  const uint32_t index = contract.Valid() ? contract.index : 0;
+  if (!state.options.learn || index >= state.contracts.size()) {
+    return EstimateTime({}, declared);
+  }
+  return EstimateTime(state.contracts[index], declared);
+}
+
+/// What a job asks of one upstream.
+struct upstream_demand {
+  microseconds work{0};
+  microseconds longest{0};
+  uint32_t tasks = 0;
+};
+
+using demands = std::map<uint32_t, upstream_demand>;
+
+void AddDemand(upstream_demand& demand, microseconds estimated) {
+  demand.work += estimated;
+  demand.longest = std::max(demand.longest, estimated);
+  ++demand.tasks;
+}
+
+demands DemandsOf(const dispatcher& state, const job_request& request) {
+  demands all;
+  for (const task_request& task : request.tasks) {
+    AddDemand(all[task.upstream.index],
+              Estimate(state, request.contract, task.declared));
+  }
+  return all;
+}
+
+uint32_t SlotsOf(const dispatcher& state, upstream_id upstream) {
+  return upstream.index < state.upstreams.size()
+             ? state.upstreams[upstream.index].slots
+             : 0;
+}
+
+/// Gives the work that starts before a new job of a team ends: all that waits,
+/// or less when the team's share is more than what it waits for.
+microseconds WorkAhead(const upstream_queue& waiting, uint32_t team,
+                       double weight, microseconds own) {
+  const bool known = team < waiting.teams.size();
+  const microseconds team_work =
+      known ? waiting.teams[team].work : microseconds{0};
+  const bool waits = known && waiting.teams[team].tasks > 0;
+  const double weights = waiting.waiting_weight + (waits ? 0 : weight);
+  const auto fair =
+      static_cast<double>((team_work + own).count()) * (weights / weight);
+  const auto all = static_cast<double>((waiting.work + own).count());
+  return microseconds{static_cast<int64_t>(std::min(fair, all))};
+}
+
+/// What a new job can expect.
+struct job_outlook {
+  /// Alone on all slots.
+  microseconds alone{0};
+  /// With what waits now.
+  microseconds expected{0};
+};
+
+/// Adds one upstream's part to what a job can expect.
+void AddOutlook(job_outlook& outlook, const dispatcher& state, team_id team,
+                uint32_t upstream, const upstream_demand& demand) {
+  const uint32_t slots = SlotsOf(state, {upstream, 0});
+  if (slots == 0) {
+    return;
+  }
+  const microseconds alone = std::max(demand.longest, demand.work / slots);
+  outlook.alone = std::max(outlook.alone, alone);
+  microseconds ahead = demand.work;
+  if (upstream < state.queue.upstreams.size()) {
+    const uint32_t index = team.Valid() ? team.index : 0;
+    const double weight =
+        index < state.queue.teams.size() ? state.queue.teams[index].weight : 1;
+    ahead =
+        WorkAhead(state.queue.upstreams[upstream], index, weight, demand.work);
+  }
+  const microseconds expected = ahead / slots + demand.longest;
+  outlook.expected = std::max(outlook.expected, expected);
+}
+
+job_outlook OutlookOf(const dispatcher& state, const job_request& request) {
+  job_outlook outlook;
+  for (const auto& [upstream, demand] : DemandsOf(state, request)) {
+    AddOutlook(outlook, state, request.team, upstream, demand);
+  }
+  return outlook;
+}
+
+/// Tells whether a job exceeds what its team may have waiting.
+bool ExceedsQuota(const dispatcher& state, const job_request& request) {
+  const uint32_t index = request.team.Valid() ? request.team.index : 0;
+  if (index >= state.queue.teams.size()) {
+    return false;
+  }
+  const queue_team& team = state.queue.teams[index];
+  return team.most_queued_tasks != 0 &&
+         team.queued_tasks + request.tasks.size() > team.most_queued_tasks;
+}
+
+/// Tells whether an upstream of the job has had no instance for long.
+bool LacksInstance(const dispatcher& state, const job_request& request) {
+  const auto lacks = [&state](const task_request& task) {
+    if (task.upstream.index >= state.upstreams.size()) {
+      return false;
+    }
+    const open_instances& upstream = state.upstreams[task.upstream.index];
+    return upstream.instances == 0 &&
+           state.ticked - upstream.none_since >= state.options.instance_wait;
+  };
+  return std::any_of(request.tasks.begin(), request.tasks.end(), lacks);
+}
+
+/// Queues tasks of one job for one upstream.
+void EnqueueGroup(dispatcher& state, std::span<const queued_task> tasks) {
+  upstream_demand demand;
+  for (const queued_task& task : tasks) {
+    AddDemand(demand, Estimate(state, task.contract, task.declared));
+  }
+  AddGroup(state.queue, tasks, demand.work, demand.longest,
+           SlotsOf(state, tasks.front().upstream));
+}
+
+/// Places the next task of one upstream.
+std::optional<placement> PlaceOn(dispatcher& state, upstream_id upstream) {
+  if (!HasWaiting(state.queue, upstream)) {
+    return std::nullopt;
+  }
+  const queued_task next = PeekTask(state.queue, upstream);
+  const microseconds estimated = Estimate(state, next.contract, next.declared);
+  const instance_id chosen = ChooseInstance(state, upstream, estimated);
+  if (!chosen.Valid()) {
+    return std::nullopt;
+  }
+  placement placed{.task = PopTask(state.queue, upstream, estimated,
+                                   SlotsOf(state, upstream)),
+                   .instance = chosen};
+  ++state.instances.Get(chosen).in_flight;
+  ++OpenOf(state, upstream).in_flight;
+  RefreshInstance(state, chosen);
+  EarnRetry(state.retries);
+  return placed;
+}
+
+/// Ejects an instance unless too many of its upstream already are.
+void EjectWithinCap(dispatcher& state, upstream_instance& instance,
+                    instant now) {
+  open_instances& upstream = OpenOf(state, instance.upstream);
+  const uint32_t after = upstream.ejected + 1;
+  const int64_t most = std::max<int64_t>(
+      1, upstream.instances * state.options.health.most_ejected_percent /
+             kPercent);
+  if (after > most) {
+    instance.health.failures = state.options.health.eject_after;
+    instance.health.stage = health_stage::kSuspect;
+    return;
+  }
+  upstream.ejected = after;
+  Eject(instance.health, state.options.health, now);
+}
+
+/// Learns from a failed or refused attempt.
+void LearnBad(dispatcher& state, upstream_instance& instance,
+              const placement& placed, bool blame_team, instant now) {
+  failure_rate& team = At(state.failures, placed.task.team);
+  const bool eject =
+      LearnFailure(instance.health, placed.task.task.job,
+                   blame_team ? team : failure_rate{}, state.options.health);
+  if (eject && instance.health.stage != health_stage::kEjected) {
+    EjectWithinCap(state, instance, now);
+  }
+}
+
+/// Learns from how an attempt ended.
+void Learn(dispatcher& state, upstream_instance& instance,
+           const placement& placed, const attempt_result& ended, instant now) {
+  failure_rate& team = At(state.failures, placed.task.team);
+  switch (ended.outcome) {
+    case attempt_outcome::kSucceeded:
+      if (instance.health.stage != health_stage::kEjected) {
+        LearnSuccess(instance.health, placed.task.estimated,
+                     ended.service_time);
+      }
+      LearnTime(At(state.contracts, placed.task.contract), placed.task.declared,
+                ended.service_time);
+      CountOutcome(team, false);
+      break;
+    case attempt_outcome::kFailed:
+    case attempt_outcome::kUnknown:
+      LearnBad(state, instance, placed, true, now);
+      CountOutcome(team, true);
+      break;
+    case attempt_outcome::kRefused:
+      if (!ended.leaving) {
+        LearnBad(state, instance, placed, false, now);
+      }
+      break;
+  }
 }
 
 }  // namespace
@@ -35,97 +236,226 @@
 dispatcher MakeDispatcher(const dispatch_options& options) {
   dispatcher state;
   state.options = options;
+  state.queue.order = options.order;
   state.random.seed(options.seed);
   return state;
 }
 
-void ApplyConfig(dispatcher& /*state*/, const config_document& /*config*/) {}
+void ApplyConfig(dispatcher& state, const config_document& config) {
+  for (uint32_t index = 0; index < config.teams.size(); ++index) {
+    const team_config& wanted = config.teams[index];
+    queue_team& team = TeamOf(state.queue, {index, 0});
+    const double weight = std::max(1U, wanted.weight);
+    for (upstream_queue& upstream : state.queue.upstreams) {
+      if (index < upstream.teams.size() && upstream.teams[index].tasks > 0) {
+        upstream.waiting_weight += weight - team.weight;
+      }
+    }
+    team.weight = weight;
+    team.most_queued_tasks = wanted.most_queued_tasks;
+    team.starts_per_s = wanted.starts_per_s;
+    SetRate(team.quota, team.starts_per_s / state.entries, state.ticked);
+  }
+  for (uint32_t index = 0; index < config.upstreams.size(); ++index) {
+    OpenOf(state, {index, 0});
+    QueueOf(state.queue, {index, 0});
+  }
+  if (state.contracts.size() < config.contracts.size()) {
+    state.contracts.resize(config.contracts.size());
+  }
+}
+
+void SetEntryCount(dispatcher& state, uint32_t entries, instant now) {
+  entries = std::max(1U, entries);
+  if (entries == state.entries) {
+    return;
+  }
+  state.entries = entries;
+  for (queue_team& team : state.queue.teams) {
+    SetRate(team.quota, team.starts_per_s / entries, now);
+  }
+}
 
-result_code TestAdmission(const dispatcher& /*state*/,
-                          const job_request& /*request*/, instant /*now*/) {
-  return result_code::kOk;
+result_code TestAdmission(const dispatcher& state, const job_request& request,
+                          instant /*now*/) {
+  if (ExceedsQuota(state, request)) {
+    return result_code::kNotRunQuota;
+  }
+  if (!state.options.shed) {
+    return result_code::kOk;
+  }
+  if (LacksInstance(state, request)) {
+    return result_code::kNotRunNoInstance;
+  }
+  const job_outlook outlook = OutlookOf(state, request);
+  if (outlook.alone > request.deadline) {
+    return result_code::kNotRunDeadline;
+  }
+  const microseconds usable = microseconds{request.deadline} *
+                              state.options.deadline_use_percent / kPercent;
+  const bool waits = outlook.expected > usable;
+  return waits && outlook.expected > 2 * outlook.alone
+             ? result_code::kNotRunOverloaded
+             : result_code::kOk;
+}
+
+milliseconds RetryAfter(const dispatcher& state, const job_request& request,
+                        instant /*now*/) {
+  constexpr milliseconds kLeast{100};
+  constexpr milliseconds kMost{60'000};
+  const job_outlook outlook = OutlookOf(state, request);
+  const microseconds usable = microseconds{request.deadline} *
+                              state.options.deadline_use_percent / kPercent;
+  const auto excess =
+      std::chrono::duration_cast<milliseconds>(outlook.expected - usable);
+  return std::clamp(excess, kLeast, kMost);
 }
 
 void EnqueueJob(dispatcher& state, std::span<const queued_task> tasks,
                 instant /*now*/) {
-  state.queue.insert(state.queue.end(), tasks.begin(), tasks.end());
+  if (tasks.empty()) {
+    return;
+  }
+  const upstream_id first = tasks.front().upstream;
+  const bool one_upstream = std::all_of(
+      tasks.begin(), tasks.end(),
+      [first](const queued_task& task) { return task.upstream == first; });
+  if (one_upstream) {
+    EnqueueGroup(state, tasks);
+    return;
+  }
+  std::map<uint32_t, std::vector<queued_task>> groups;
+  for (const queued_task& task : tasks) {
+    groups[task.upstream.index].push_back(task);
+  }
+  for (const auto& [upstream, group] : groups) {
+    EnqueueGroup(state, group);
+  }
 }
 
-void DropJob(dispatcher& state, job_id job) {
-  std::erase_if(state.queue, [job](const queued_task& task) {
-    return task.task.job == job;
-  });
-}
+void DropJob(dispatcher& state, job_id job) { DropGroups(state.queue, job); }
 
 void RequeueTask(dispatcher& state, const queued_task& task, instant /*now*/) {
-  state.queue.push_front(task);
+  EnqueueGroup(state, {&task, 1});
 }
 
 std::optional<placement> PlaceNext(dispatcher& state, instant /*now*/) {
-  for (auto at = state.queue.begin(); at != state.queue.end(); ++at) {
-    const instance_id id = LeastLoaded(state, at->upstream);
-    if (!id.Valid()) {
-      continue;
+  const auto upstreams = static_cast<uint32_t>(
+      std::min(state.upstreams.size(), state.queue.upstreams.size()));
+  for (uint32_t tried = 0; tried < upstreams; ++tried) {
+    const uint32_t index = state.next_upstream++ % upstreams;
+    if (auto placed = PlaceOn(state, {index, 0})) {
+      return placed;
     }
-    placement placed{.task = *at, .instance = id};
-    state.queue.erase(at);
-    ++state.instances.Get(id).in_flight;
-    return placed;
   }
   return std::nullopt;
 }
 
 void ReleaseSlot(dispatcher& state, const placement& placed,
                  const attempt_result& ended, instant now) {
+  const microseconds used = ended.outcome == attempt_outcome::kRefused
+                                ? microseconds{0}
+                                : ended.service_time;
+  CorrectCharge(state.queue, placed.task.upstream, placed.task.team,
+                used - placed.task.estimated);
   upstream_instance* const instance = state.instances.Find(placed.instance);
   if (instance == nullptr) {
     return;
   }
   assert(instance->in_flight > 0);
   --instance->in_flight;
+  --OpenOf(state, instance->upstream).in_flight;
+  Learn(state, *instance, placed, ended, now);
   if (ended.leaving) {
-    MarkLeaving(state, placed.instance, now);
+    instance->leaving = true;
   }
+  RefreshInstance(state, placed.instance);
 }
 
 instance_id SetInstance(dispatcher& state, const upstream_instance& instance) {
   const instance_id known = FindInstance(state, instance.address);
-  if (!known.Valid()) {
-    return state.instances.Insert(instance);
+  if (known.Valid()) {
+    upstream_instance& place = state.instances.Get(known);
+    place.share = instance.share;
+    place.rack = instance.rack;
+    RefreshInstance(state, known);
+    return known;
   }
-  upstream_instance& place = state.instances.Get(known);
-  place.share = instance.share;
-  place.rack = instance.rack;
-  return known;
+  upstream_instance added = instance;
+  added.open_at = upstream_instance::kNotOpen;
+  added.counted = 0;
+  const instance_id id = state.instances.Insert(std::move(added));
+  state.addresses[instance.address] = id;
+  ++OpenOf(state, instance.upstream).instances;
+  RefreshInstance(state, id);
+  return id;
 }
 
 void MarkLeaving(dispatcher& state, instance_id id, instant /*now*/) {
   upstream_instance* const instance = state.instances.Find(id);
   if (instance != nullptr) {
     instance->leaving = true;
+    RefreshInstance(state, id);
   }
 }
 
 void RemoveInstance(dispatcher& state, instance_id id) {
   const upstream_instance* const instance = state.instances.Find(id);
-  if (instance != nullptr && instance->in_flight == 0) {
-    state.instances.Erase(id);
+  if (instance == nullptr || instance->in_flight != 0) {
+    return;
   }
+  ForgetInstance(state, id);
+  state.addresses.erase(instance->address);
+  open_instances& upstream = OpenOf(state, instance->upstream);
+  if (upstream.instances == 0) {
+    upstream.none_since = state.ticked;
+  }
+  state.instances.Erase(id);
 }
 
 instance_id FindInstance(const dispatcher& state, const std::string& address) {
-  instance_id found;
-  state.instances.ForEach(
-      [&](instance_id id, const upstream_instance& instance) {
-        if (instance.address == address) {
-          found = id;
-        }
-      });
-  return found;
+  const auto at = state.addresses.find(address);
+  return at == state.addresses.end() ? instance_id{} : at->second;
+}
+
+void TickDispatcher(dispatcher& state, instant now) {
+  const microseconds passed = now - state.ticked;
+  if (state.ticked == instant{}) {
+    for (open_instances& upstream : state.upstreams) {
+      upstream.none_since = now;
+    }
+  }
+  state.ticked = now;
+  RefillQuotas(state.queue, now);
+  state.instances.ForEach([&](instance_id id, upstream_instance& instance) {
+    FadeSlowness(instance.health, passed);
+    if (BeginProbe(instance.health, now)) {
+      --OpenOf(state, instance.upstream).ejected;
+      RefreshInstance(state, id);
+    }
+  });
 }
 
-void TickDispatcher(dispatcher& /*state*/, instant /*now*/) {}
+size_t QueuedTasks(const dispatcher& state) { return state.queue.tasks; }
+
+size_t QueuedTasks(const dispatcher& state, upstream_id upstream) {
+  return upstream.index < state.queue.upstreams.size()
+             ? state.queue.upstreams[upstream.index].tasks
+             : 0;
+}
+
+uint32_t FreeSlots(const dispatcher& state, upstream_id upstream) {
+  if (upstream.index >= state.upstreams.size()) {
+    return 0;
+  }
+  uint32_t free = 0;
+  for (const instance_id id : state.upstreams[upstream.index].open) {
+    const upstream_instance& instance = state.instances.Get(id);
+    free += instance.share - instance.in_flight;
+  }
+  return free;
+}
 
-size_t QueuedTasks(const dispatcher& state) { return state.queue.size(); }
+bool TakeRetry(dispatcher& state) { return SpendRetry(state.retries); }
 
 }  // namespace tarragondrift
