Slot shares in one small table row, loans between entries

Cause: the split of slots must hold while entries die, pause, join, leave or lose the table, without a coordination service.

--- a/packages/core/include/tarragondrift/core/health_base.h
+++ b/packages/core/include/tarragondrift/core/health_base.h
@@ -33,6 +33,8 @@
   /// When the instance is probed next.
   instant probe_at;
   std::chrono::milliseconds backoff{0};
+  /// Too many are ejected already: it only waits a little between attempts.
+  bool paced = false;
 };
 
 /// Limits of the health rules.
@@ -43,6 +45,8 @@
   uint32_t most_ejected_percent = 34;
   std::chrono::milliseconds first_backoff{1'000};
   std::chrono::milliseconds longest_backoff{60'000};
+  /// Between two attempts at an instance that the cap keeps from ejection.
+  std::chrono::milliseconds pace{250};
   /// An instance slower than this many times the estimate is passed over while
   /// little work waits.
   double slow = 2.0;
--- a/packages/core/include/tarragondrift/core/health_cmd.h
+++ b/packages/core/include/tarragondrift/core/health_cmd.h
@@ -24,6 +24,9 @@
 /// Ejects an instance, longer each time in a row.
 void Eject(instance_health& health, const health_options& options, instant now);
 
+/// Lets an instance that should be ejected but must not wait for a little.
+void Pace(instance_health& health, const health_options& options, instant now);
+
 /// Lets an ejected instance have one attempt once its time has come.
 /// @return whether its stage has changed.
 bool BeginProbe(instance_health& health, instant now);
--- a/packages/core/include/tarragondrift/core/loan_cmd.h
+++ b/packages/core/include/tarragondrift/core/loan_cmd.h
@@ -63,15 +63,19 @@
 /// Takes lent slots back that a peer returns.
 void TakeReturn(shares& state, const loan_return& message);
 
-/// Gives back borrowed slots that are not needed: call it when nothing waits.
+/// Gives back borrowed slots on which nothing runs: those of expired loans, and
+/// all when the entry is `idle`, which means that nothing waits.
 std::vector<return_target> ReturnLoans(shares& state,
                                        std::span<const loan_view> instances,
-                                       instant now);
+                                       bool idle, instant now);
 
 /// Counts the slots of an instance that are lent out at a time.
 uint32_t LentSlots(const shares& state, const std::string& address,
                    instant now);
 
+/// Counts the borrowed slots of an instance that were not returned yet.
+uint32_t UnreturnedSlots(const shares& state, const std::string& address);
+
 /// Counts the borrowed slots of an instance on which attempts may start.
 uint32_t BorrowedSlots(const shares& state, const std::string& address,
                        instant now);
--- a/packages/core/include/tarragondrift/core/share_base.h
+++ b/packages/core/include/tarragondrift/core/share_base.h
@@ -19,6 +19,9 @@
 struct silence_vote {
   incarnation voter;
   incarnation silent;
+  /// The version of the row on which the vote was cast; tells a vote from an
+  /// earlier one that was refuted.
+  uint64_t number = 0;
   /// The silent member is proven dead: its address refuses connections or
   /// answers as another incarnation.
   bool proven = false;
@@ -67,6 +70,9 @@
   instant acknowledged;
   bool leaving = false;
   bool proven_dead = false;
+  /// Set by TakeSharePeers: it supported this entry until it died, so it has
+  /// cast no vote against it.
+  bool excused = false;
 };
 
 /// Rules that only tests switch, to show that the checks can fail.
@@ -97,10 +103,18 @@
   /// majority.
   std::chrono::milliseconds takeover_wait{60'000};
   /// A gap between two ticks that counts as a pause of the process.
-  std::chrono::milliseconds pause_limit{2'000};
+  std::chrono::milliseconds pause_limit{30'000};
   std::chrono::milliseconds loan_time{2'000};
   /// Between two requests for a loan to the same peer.
   std::chrono::milliseconds loan_interval{20};
+  /// After which a request counts as lost.
+  std::chrono::milliseconds loan_timeout{1'000};
+  /// Most slots asked for at once.
+  uint32_t largest_loan = 64;
+  /// Part of its idle slots that an entry lends at once, in percent.
+  uint32_t lend_percent = 50;
+  /// Time that a write of the row is waited for.
+  std::chrono::milliseconds write_timeout{2'000};
   share_mutation mutation = share_mutation::kNone;
 };
 
@@ -130,10 +144,12 @@
   std::chrono::milliseconds lasts{0};
 };
 
-/// Gives lent slots back before they expire; nothing runs on them.
+/// Gives lent slots back; nothing runs on them.
 struct loan_return {
   incarnation from;
   uint64_t number = 0;
+  /// Grows with each return of one loan, so that a repeated one is ignored.
+  uint32_t part = 0;
   std::vector<loan_item> items;
 };
 
@@ -142,6 +158,8 @@
   incarnation borrower;
   uint64_t number = 0;
   std::vector<loan_item> items;
+  /// The last return that was taken.
+  uint32_t part = 0;
   /// When the borrower's last attempt on them has ended at the latest.
   instant back;
 };
@@ -151,6 +169,8 @@
   incarnation lender;
   uint64_t number = 0;
   std::vector<loan_item> items;
+  /// The last return that was sent.
+  uint32_t part = 0;
   /// No attempt starts on them from then on.
   instant expires;
 };
@@ -162,6 +182,12 @@
   bool answered = false;
 };
 
+/// The votes against one member and since when this entry has seen just them.
+struct votes_standing {
+  std::vector<silence_vote> votes;
+  instant since;
+};
+
 /// All that the share decisions of one entry depend on.
 struct shares {
   share_options options;
@@ -171,12 +197,23 @@
   bool had_table_contact = false;
   instant next_read;
   instant last_tick;
-  /// Set by a pause; only a new contact clears it.
+  /// When the version of the row was first seen.
+  instant row_seen;
+  instant started;
+  /// Set by a pause; only a contact after that moment clears it.
   bool suspended = true;
+  instant suspended_since;
+  /// While a write is on its way, no other is asked for until then.
+  instant write_until;
+  /// The version that the last write of votes expected; such a write may take
+  /// effect until a later version is seen.
+  std::optional<uint64_t> voted_on;
+  std::vector<incarnation> voted;
+  /// When a member was last seen to have refuted a vote.
+  std::map<incarnation, instant> refuted;
   bool leaving = false;
   std::vector<share_peer> peers;
-  /// When each set of votes against a member was first seen to stand.
-  std::map<incarnation, instant> votes_seen;
+  std::map<incarnation, votes_standing> standing;
   std::vector<loan_out> lent;
   std::vector<loan_in> borrowed;
   std::map<incarnation, loan_asked> asked;
--- a/packages/core/include/tarragondrift/core/share_cmd.h
+++ b/packages/core/include/tarragondrift/core/share_cmd.h
@@ -40,9 +40,19 @@
 /// Tells whether this entry may start anything on its own slots now.
 bool MayUseShares(const shares& state, instant now);
 
+/// Tells whether this entry may acknowledge a peer's heartbeats. It must not
+/// while it may have a vote standing against the peer.
+bool SupportsPeer(const shares& state, incarnation who);
+
+/// Gives the slots of an instance that this entry holds itself, lent or not.
+uint32_t HeldSlots(const shares& state, const std::string& address,
+                   uint32_t slots, instant now);
+
 /// Gives the slots of each instance that this entry may use now: its own ones
-/// less those lent plus those borrowed. In-flight attempts may exceed them for
-/// a while; nothing new starts until they fit.
+/// less those lent plus those borrowed. Pass them on by SetInstance after each
+/// tick, and at once after AnswerLoan, TakeGrant, TakeReturn and ReturnLoans.
+/// In-flight attempts may exceed them for a while; nothing new starts until
+/// they fit.
 std::vector<usable_share> UsableShares(
     const shares& state, std::span<const shared_instance> instances,
     instant now);
--- a/packages/core/src/dispatch_cmd.cc
+++ b/packages/core/src/dispatch_cmd.cc
@@ -184,8 +184,7 @@
       1, upstream.instances * state.options.health.most_ejected_percent /
              kPercent);
   if (after > most) {
-    instance.health.failures = state.options.health.eject_after;
-    instance.health.stage = health_stage::kSuspect;
+    Pace(instance.health, state.options.health, now);
     return;
   }
   upstream.ejected = after;
@@ -430,7 +429,7 @@
   state.instances.ForEach([&](instance_id id, upstream_instance& instance) {
     FadeSlowness(instance.health, passed);
     if (BeginProbe(instance.health, now)) {
-      --OpenOf(state, instance.upstream).ejected;
+      OpenOf(state, instance.upstream).ejected -= instance.health.paced ? 0 : 1;
       RefreshInstance(state, id);
     }
   });
--- a/packages/core/src/health_cmd.cc
+++ b/packages/core/src/health_cmd.cc
@@ -68,6 +68,13 @@
                        ? options.first_backoff
                        : std::min(2 * health.backoff, options.longest_backoff);
   health.probe_at = now + health.backoff;
+  health.paced = false;
+}
+
+void Pace(instance_health& health, const health_options& options, instant now) {
+  health.stage = health_stage::kEjected;
+  health.probe_at = now + options.pace;
+  health.paced = true;
 }
 
 bool BeginProbe(instance_health& health, instant now) {
--- a/packages/core/src/placement_cmd.cc
+++ b/packages/core/src/placement_cmd.cc
@@ -128,7 +128,8 @@
   RefreshInstance(state, id);
   open_instances& upstream = OpenOf(state, instance.upstream);
   --upstream.instances;
-  if (instance.health.stage == health_stage::kEjected) {
+  if (instance.health.stage == health_stage::kEjected &&
+      !instance.health.paced) {
     --upstream.ejected;
   }
 }
