--- /dev/null
+++ b/packages/tool/src/metrics_text.cc
@@ -0,0 +1,40 @@
+#include "metrics_text.h"
+
+#include <cstdlib>
+#include <sstream>
+
+namespace tarragondrift {
+namespace {
+
+/// Tells whether a line is a sample of the metric.
+bool IsSampleOf(std::string_view line, std::string_view metric) {
+  if (!line.starts_with(metric) || line.size() == metric.size()) {
+    return false;
+  }
+  const char next = line[metric.size()];
+  return next == ' ' || next == '{';
+}
+
+/// Reads the value that ends a line.
+double ValueOf(const std::string& line) {
+  const size_t labels_end = line.find('}');
+  const size_t from = labels_end == std::string::npos ? 0 : labels_end;
+  return std::strtod(line.c_str() + line.find(' ', from), nullptr);
+}
+
+}  // namespace
+
+std::optional<double> SumMetric(const std::string& page,
+                                std::string_view metric) {
+  std::istringstream lines(page);
+  std::string line;
+  std::optional<double> sum;
+  while (std::getline(lines, line)) {
+    if (IsSampleOf(line, metric)) {
+      sum = sum.value_or(0) + ValueOf(line);
+    }
+  }
+  return sum;
+}
+
+}  // namespace tarragondrift
