Membership: heartbeats, one speaker a data centre, relayed summaries

Entries of a data centre beat each other; one of them, the lowest serving incarnation, speaks to the other data centres and relays what it hears in turns, so that far traffic grows with data centres and not with entries. Beats are bounded: slot rows, far entries and leaving addresses take turns. A changed stage or configuration version goes out at once.

--- a/packages/core/include/tarragondrift/core/membership_base.h
+++ b/packages/core/include/tarragondrift/core/membership_base.h
@@ -41,10 +41,25 @@
   std::vector<heartbeat> relayed;
 };
 
-/// Another entry.
+/// Another entry. It may be known from the platform's rows only.
 struct peer {
   heartbeat last;
+  /// When its newest beat came, by itself or relayed.
   instant heard;
+  /// When it last sent a beat to this entry.
+  instant heard_directly;
+  /// When the platform's rows last named it.
+  instant learned;
+  bool ever_heard = false;
+  bool ever_heard_directly = false;
+  /// Beats that are still to carry it within the data centre ahead of others.
+  uint32_t urgent_relays = 0;
+};
+
+/// Messages and their estimated bytes, headers of the transport included.
+struct traffic_count {
+  uint64_t messages = 0;
+  uint64_t bytes = 0;
 };
 
 /// Options of membership.
@@ -57,6 +72,18 @@
   std::chrono::milliseconds far_beat_interval{1'000};
   /// A peer that was not heard for this long is taken for gone.
   std::chrono::milliseconds silence_limit{3'000};
+  /// The same for entries of other data centres, whose news is relayed in
+  /// turns.
+  std::chrono::milliseconds far_silence_limit{20'000};
+  /// Rows of slot_news in a beat; more take turns.
+  uint32_t most_slot_news = 12;
+  /// Entries of other data centres that a beat within the data centre carries;
+  /// more take turns.
+  uint32_t most_far_news = 4;
+  /// Addresses of leaving upstream instances in a beat.
+  uint32_t most_leaving_news = 16;
+  /// Silent entries of a data centre that are remembered for probing.
+  uint32_t most_silent_peers = 16;
 };
 
 /// All that one entry knows of the others.
@@ -66,6 +93,15 @@
   instant next_beat;
   instant next_far_beat;
   std::map<incarnation, peer> peers;
+  /// What this entry last said of itself.
+  entry_stage stage = entry_stage::kServing;
+  uint64_t announced_config = 0;
+  /// Whose turns come next among the rows and peers that take turns.
+  size_t slot_turn = 0;
+  size_t far_turn = 0;
+  size_t probe_turn = 0;
+  traffic_count sent;
+  traffic_count received;
 };
 
 /// One beat to send.
--- /dev/null
+++ b/packages/core/test/membership_test.cc
@@ -0,0 +1,274 @@
+#include <catch2/catch.hpp>
+#include <functional>
+#include <map>
+#include <string>
+#include <utility>
+
+#include "tarragondrift/core/membership_cmd.h"
+
+namespace tarragondrift {
+namespace {
+
+using namespace std::chrono_literals;  // NOLINT: literals only
+
+constexpr std::chrono::milliseconds kStep{100};
+
+/// Entries that exchange beats in virtual time; a beat takes one step.
+struct group {
+  std::map<std::string, membership> entries;
+  std::map<std::string, uint64_t> configs;
+  std::vector<beat_target> flying;
+  instant now;
+  /// Tells whether a beat from one data centre to another is lost.
+  std::function<bool(uint16_t, uint16_t)> lost = [](uint16_t, uint16_t) {
+    return false;
+  };
+};
+
+std::string Address(uint16_t data_centre, uint64_t value) {
+  return "10." + std::to_string(data_centre) + ".0." + std::to_string(value) +
+         ":7000";
+}
+
+membership& Start(group& all, uint16_t data_centre, uint64_t value) {
+  const std::string address = Address(data_centre, value);
+  return all.entries[address] =
+             MakeMembership(membership_options{.self = incarnation{value},
+                                               .data_centre = data_centre,
+                                               .address = address});
+}
+
+/// Starts a number of entries in each of a number of data centres; each
+/// learns the others from the platform's rows.
+group MakeGroup(uint16_t data_centres, uint64_t each) {
+  group all;
+  for (uint16_t data_centre = 1; data_centre <= data_centres; ++data_centre) {
+    for (uint64_t number = 0; number < each; ++number) {
+      Start(all, data_centre, data_centre * 10U + number);
+    }
+  }
+  for (auto& [address, entry] : all.entries) {
+    for (const auto& [other_address, other] : all.entries) {
+      LearnPeer(entry, other.options.self, other.options.data_centre,
+                other_address, all.now);
+    }
+  }
+  return all;
+}
+
+void Step(group& all) {
+  all.now += kStep;
+  for (const beat_target& beat : std::exchange(all.flying, {})) {
+    const auto to = all.entries.find(beat.address);
+    if (to != all.entries.end() &&
+        !all.lost(beat.message.data_centre, to->second.options.data_centre)) {
+      HearBeat(to->second, beat.message, all.now);
+    }
+  }
+  for (auto& [address, entry] : all.entries) {
+    const heartbeat self{.config_version = all.configs[address]};
+    for (beat_target& beat : TickMembership(entry, self, all.now)) {
+      all.flying.push_back(std::move(beat));
+    }
+  }
+}
+
+void Run(group& all, std::chrono::milliseconds time) {
+  for (const instant end = all.now + time; all.now < end;) {
+    Step(all);
+  }
+}
+
+size_t CountSpeakers(const group& all, uint16_t data_centre) {
+  size_t speakers = 0;
+  for (const auto& [address, entry] : all.entries) {
+    if (entry.options.data_centre == data_centre && IsSpeaker(entry, all.now)) {
+      ++speakers;
+    }
+  }
+  return speakers;
+}
+
+membership& Entry(group& all, uint16_t data_centre, uint64_t value) {
+  return all.entries.at(Address(data_centre, value));
+}
+
+TEST_CASE("Entries of all data centres come to know each other") {
+  group all = MakeGroup(3, 3);
+  Run(all, 15s);
+  for (const auto& [address, entry] : all.entries) {
+    for (uint16_t data_centre = 1; data_centre <= 3; ++data_centre) {
+      CHECK(LiveEntries(entry, data_centre, all.now).size() == 3);
+    }
+  }
+  CHECK(CountSpeakers(all, 1) == 1);
+  CHECK(IsSpeaker(Entry(all, 2, 20), all.now));
+}
+
+TEST_CASE("A silent entry is taken for gone after the limit, not before") {
+  group all = MakeGroup(1, 3);
+  Run(all, 5s);
+  all.entries.erase(Address(1, 12));
+  Run(all, 2s);
+  CHECK(LiveEntries(Entry(all, 1, 10), 1, all.now).size() == 3);
+  Run(all, 2s);
+  CHECK(LiveEntries(Entry(all, 1, 10), 1, all.now).size() == 2);
+}
+
+TEST_CASE("When a speaker dies the next in order takes its place") {
+  group all = MakeGroup(3, 3);
+  Run(all, 15s);
+  all.entries.erase(Address(1, 10));
+  Run(all, 4s);
+  CHECK(CountSpeakers(all, 1) == 1);
+  CHECK(IsSpeaker(Entry(all, 1, 11), all.now));
+  const uint64_t before = Entry(all, 2, 20).received.messages;
+  Run(all, 10s);
+  CHECK(Entry(all, 2, 20).received.messages > before);
+  Run(all, 10s);
+  CHECK(LiveEntries(Entry(all, 2, 21), 1, all.now).size() == 2);
+}
+
+TEST_CASE("A speaker that drains leaves its place to one that serves") {
+  group all = MakeGroup(1, 2);
+  Run(all, 5s);
+  membership& leaving = Entry(all, 1, 10);
+  for (const beat_target& beat : TickMembership(
+           leaving, heartbeat{.stage = entry_stage::kDraining}, all.now)) {
+    HearBeat(Entry(all, 1, 11), beat.message, all.now);
+  }
+  CHECK_FALSE(IsSpeaker(leaving, all.now));
+  CHECK(IsSpeaker(Entry(all, 1, 11), all.now));
+  CHECK(LiveEntries(Entry(all, 1, 11), 1, all.now).size() == 2);
+}
+
+TEST_CASE("Two speakers for a moment do no harm and become one") {
+  group all = MakeGroup(2, 3);
+  Run(all, 15s);
+  all.lost = [](uint16_t from, uint16_t to) { return from == 1 && to == 1; };
+  Run(all, 5s);
+  CHECK(CountSpeakers(all, 1) == 3);
+  CHECK(LiveEntries(Entry(all, 2, 20), 1, all.now).size() == 3);
+  all.lost = [](uint16_t, uint16_t) { return false; };
+  Run(all, 3s);
+  CHECK(CountSpeakers(all, 1) == 1);
+}
+
+TEST_CASE("After a cut data centres find each other again") {
+  group all = MakeGroup(2, 2);
+  Run(all, 15s);
+  all.lost = [](uint16_t from, uint16_t to) { return from != to; };
+  Run(all, 60s);
+  CHECK(LiveEntries(Entry(all, 1, 10), 2, all.now).empty());
+  CHECK(LiveEntries(Entry(all, 1, 11), 1, all.now).size() == 2);
+  all.lost = [](uint16_t, uint16_t) { return false; };
+  Run(all, 10s);
+  CHECK(LiveEntries(Entry(all, 1, 11), 2, all.now).size() == 2);
+}
+
+TEST_CASE("A restarted entry is a new one and its old life ends") {
+  group all = MakeGroup(2, 2);
+  Run(all, 15s);
+  const std::string address = Address(1, 11);
+  membership& restarted = Start(all, 1, 99);
+  restarted.options.address = address;
+  all.entries[address] = restarted;
+  all.entries.erase(Address(1, 99));
+  LearnPeer(Entry(all, 1, 11), incarnation{10}, 1, Address(1, 10), all.now);
+  Run(all, 4s);
+  membership& other = Entry(all, 1, 10);
+  CHECK(LiveEntries(other, 1, all.now) ==
+        std::vector<incarnation>{incarnation{10}, incarnation{99}});
+  CHECK(FindPeerAddress(other, incarnation{99}) == address);
+  CHECK_FALSE(FindPeerAddress(other, incarnation{11}).has_value());
+}
+
+TEST_CASE("Stale, repeated and reordered beats change nothing") {
+  membership state = MakeMembership(membership_options{.self = incarnation{1}});
+  const heartbeat newer{.from = incarnation{2},
+                        .number = 5,
+                        .queued_tasks = 7,
+                        .config_version = 4};
+  HearBeat(state, newer, instant(1s));
+  HearBeat(state, {.from = incarnation{2}, .number = 4, .queued_tasks = 1},
+           instant(2s));
+  CHECK(state.peers.at(incarnation{2}).last.queued_tasks == 7);
+  HearBeat(state, newer, instant(9s));
+  CHECK(LiveEntries(state, 0, instant(9s)).size() == 1);
+  HearBeat(state, {.from = incarnation{3}, .relayed = {newer}}, instant(9s));
+  CHECK(LiveEntries(state, 0, instant(9s)).size() == 2);
+  CHECK(HighestPeerConfig(state) == 4);
+}
+
+TEST_CASE("A peer's version never falls, whatever it says") {
+  membership state = MakeMembership(membership_options{.self = incarnation{1}});
+  HearBeat(state, {.from = incarnation{2}, .number = 1, .config_version = 9},
+           instant(1s));
+  HearBeat(state, {.from = incarnation{2}, .number = 2, .config_version = 3},
+           instant(2s));
+  CHECK(HighestPeerConfig(state) == 9);
+}
+
+TEST_CASE("A new configuration version goes out at once") {
+  group all = MakeGroup(3, 3);
+  Run(all, 15s);
+  all.configs[Address(1, 10)] = 1;
+  Run(all, 2 * kStep);
+  CHECK(HighestPeerConfig(Entry(all, 1, 12)) == 1);
+  CHECK(HighestPeerConfig(Entry(all, 2, 20)) == 1);
+}
+
+TEST_CASE("Traffic across data centres does not grow with their entries") {
+  const auto far_messages = [](uint64_t each) {
+    group all = MakeGroup(4, each);
+    Run(all, 15s);
+    uint64_t far = 0;
+    all.lost = [&far](uint16_t from, uint16_t to) {
+      far += from == to ? 0 : 1;
+      return false;
+    };
+    Run(all, 10s);
+    return far;
+  };
+  CHECK(far_messages(6) == far_messages(2));
+}
+
+TEST_CASE("Rows and peers that take turns all come through") {
+  membership state = MakeMembership(
+      membership_options{.self = incarnation{1}, .most_slot_news = 3});
+  LearnPeer(state, incarnation{2}, 0, "peer", instant{});
+  heartbeat self;
+  for (int number = 0; number < 10; ++number) {
+    self.slots.push_back(slot_news{.address = std::to_string(number)});
+  }
+  self.slots[9].idle = 4;
+  std::map<std::string, int> seen;
+  for (int beat = 1; beat <= 10; ++beat) {
+    for (const beat_target& sent :
+         TickMembership(state, self, instant(beat * 1s))) {
+      CHECK(sent.message.slots.size() == 3);
+      for (const slot_news& row : sent.message.slots) {
+        ++seen[row.address];
+      }
+    }
+  }
+  CHECK(seen.size() == 10);
+  CHECK(seen["9"] == 10);
+}
+
+TEST_CASE("Silent entries are remembered up to a limit") {
+  membership state = MakeMembership(
+      membership_options{.self = incarnation{1}, .most_silent_peers = 4});
+  for (uint64_t value = 2; value < 100; ++value) {
+    LearnPeer(state, incarnation{value}, 0, std::to_string(value),
+              instant(std::chrono::milliseconds(value)));
+  }
+  for (int beat = 1; beat <= 64; ++beat) {
+    TickMembership(state, {}, instant(beat * 1s));
+  }
+  CHECK(state.peers.size() == 4);
+  CHECK(state.peers.contains(incarnation{99}));
+}
+
+}  // namespace
+}  // namespace tarragondrift
