--- a/packages/core/test/membership_test.cc
+++ b/packages/core/test/membership_test.cc
@@ -44,7 +44,7 @@
   group all;
   for (uint16_t data_centre = 1; data_centre <= data_centres; ++data_centre) {
     for (uint64_t number = 0; number < each; ++number) {
-      Start(all, data_centre, data_centre * 10U + number);
+      Start(all, data_centre, uint64_t{10} * data_centre + number);
     }
   }
   for (auto& [address, entry] : all.entries) {
