Pruning of configuration history is fenced; peers are found by seeds

Pruning listed every document, whose rows can be deleted and made again with the same version by the table: it now reads only the documents of the history rows it deletes, reads the history again before its one conditional transaction, and a guard row refuses a second prune at the same time. An entry that starts without the table finds its peers through addresses of its settings.

--- a/packages/config/include/tarragondrift/config/config_store.h
+++ b/packages/config/include/tarragondrift/config/config_store.h
@@ -91,8 +91,9 @@
                                              environment where, uint32_t most);
 
 /// Deletes history beyond the latest `keep` versions of each environment, and
-/// the documents that no kept change names.
-/// @return how many rows were deleted.
+/// the documents that no kept change names; a bounded number of rows a call.
+/// @return how many rows were deleted, 0 when none is left; kStoreConflict
+///   when another prune or a change came between.
 result<uint32_t> PruneHistory(table_port& table, uint64_t keep);
 
 }  // namespace tarragondrift
--- a/packages/config/src/config_store.cc
+++ b/packages/config/src/config_store.cc
@@ -14,6 +14,9 @@
 
 /// Times a write whose outcome is unknown is sent again.
 constexpr uint32_t kMostWriteAttempts = 4;
+/// History rows that one prune deletes at most, so that its transaction with
+/// their documents stays small.
+constexpr size_t kMostPrunedRows = 40;
 /// Width of a version in a key, so that keys sort by version.
 constexpr size_t kVersionDigits = 20;
 
@@ -34,12 +37,12 @@
          std::string(kVersionDigits - digits.size(), '0') + digits;
 }
 
-std::string DocumentPrefix() { return "config/document/"; }
-
 std::string DocumentKey(const std::string& digest) {
-  return DocumentPrefix() + digest;
+  return "config/document/" + digest;
 }
 
+std::string PruneKey() { return "config/prune"; }
+
 std::string FormatHead(const config_head& head) {
   const auto at_ms = std::chrono::duration_cast<std::chrono::milliseconds>(
       head.at.time_since_epoch());
@@ -245,27 +248,65 @@
                       .text = text});
 }
 
-/// Adds the digests of an environment's kept history to `used` and deletes the
-/// rows before it.
-result<uint32_t> PruneEnvironment(table_port& table, environment where,
-                                  uint64_t keep, std::set<std::string>& used) {
+/// The history of all environments, parted at the versions to keep.
+struct parted_history {
+  std::set<std::string> kept_digests;
+  /// The oldest rows beyond those to keep, kMostPrunedRows at most.
+  std::vector<table_row> old_rows;
+  std::set<std::string> old_digests;
+};
+
+/// Adds the history of one environment.
+result<void> PartHistory(table_port& table, environment where, uint64_t keep,
+                         parted_history& parted) {
   BOOST_OUTCOME_TRY(rows, table.List(HistoryPrefix(where)));
-  BOOST_OUTCOME_TRY(latest, ReadHead(table, where));
-  used.insert(latest.digest);
-  uint32_t deleted = 0;
-  for (const table_row& row : rows) {
-    BOOST_OUTCOME_TRY(head, ParseHead(row.value));
-    if (head.version + keep > latest.version) {
-      used.insert(head.digest);
+  for (size_t place = 0; place < rows.size(); ++place) {
+    BOOST_OUTCOME_TRY(head, ParseHead(rows[place].value));
+    const bool old =
+        place + keep < rows.size() && parted.old_rows.size() < kMostPrunedRows;
+    if (old) {
+      parted.old_rows.push_back(rows[place]);
+      parted.old_digests.insert(head.digest);
+    } else {
+      parted.kept_digests.insert(head.digest);
+    }
+  }
+  return outcome::success();
+}
+
+/// Reads the history of all environments.
+result<parted_history> ReadPartedHistory(table_port& table, uint64_t keep) {
+  parted_history parted;
+  for (const environment where : kEnvironments) {
+    BOOST_OUTCOME_TRY(PartHistory(table, where, keep, parted));
+  }
+  return parted;
+}
+
+/// Makes the write that deletes a row as it was read.
+table_write MakeErase(const table_row& row) {
+  return table_write{.key = row.key,
+                     .value = {},
+                     .expected_version = row.version,
+                     .erase = true};
+}
+
+/// Reads the rows of documents that no kept change names.
+result<std::vector<table_row>> ReadUnusedDocuments(
+    table_port& table, const parted_history& parted) {
+  std::vector<table_row> unused;
+  for (const std::string& digest : parted.old_digests) {
+    if (parted.kept_digests.contains(digest)) {
       continue;
     }
-    BOOST_OUTCOME_TRY(table.Write({table_write{.key = row.key,
-                                               .value = {},
-                                               .expected_version = row.version,
-                                               .erase = true}}));
-    ++deleted;
+    result<table_row> row = table.Get(DocumentKey(digest));
+    if (row.has_value()) {
+      unused.push_back(std::move(row.assume_value()));
+    } else if (row.assume_error() != result_code::kNotFound) {
+      return row.assume_error();
+    }
   }
-  return deleted;
+  return unused;
 }
 
 }  // namespace
@@ -363,32 +404,36 @@
 }
 
 result<uint32_t> PruneHistory(table_port& table, uint64_t keep) {
-  // Documents are listed first: a change after that rewrites its document's
-  // row, so that the conditional delete below leaves it alone.
-  BOOST_OUTCOME_TRY(documents, table.List(DocumentPrefix()));
-  std::set<std::string> used;
-  uint32_t deleted = 0;
-  for (const environment where : kEnvironments) {
-    BOOST_OUTCOME_TRY(
-        rows,
-        PruneEnvironment(table, where, std::max<uint64_t>(keep, 1), used));
-    deleted += rows;
+  // One prune at a time: this row's condition refuses the second one.
+  const result<table_row> guard = table.Get(PruneKey());
+  if (guard.has_error() && guard.assume_error() != result_code::kNotFound) {
+    return guard.assume_error();
+  }
+  keep = std::max<uint64_t>(keep, 1);
+  BOOST_OUTCOME_TRY(before, ReadPartedHistory(table, keep));
+  if (before.old_rows.empty()) {
+    return 0U;
+  }
+  BOOST_OUTCOME_TRY(documents, ReadUnusedDocuments(table, before));
+  // A change that names one of these documents either stands in the history
+  // that is read now, or rewrites the document's row and so fails the delete.
+  BOOST_OUTCOME_TRY(after, ReadPartedHistory(table, keep));
+  std::vector<table_write> writes;
+  for (const table_row& row : before.old_rows) {
+    writes.push_back(MakeErase(row));
   }
   for (const table_row& row : documents) {
-    if (used.contains(row.key.substr(DocumentPrefix().size()))) {
-      continue;
-    }
-    const result<void> erased =
-        table.Write({table_write{.key = row.key,
-                                 .value = {},
-                                 .expected_version = row.version,
-                                 .erase = true}});
-    if (erased.has_value()) {
-      ++deleted;
-    } else if (erased.assume_error() != result_code::kStoreConflict) {
-      return erased.assume_error();
+    if (!after.kept_digests.contains(row.key.substr(DocumentKey("").size()))) {
+      writes.push_back(MakeErase(row));
     }
   }
+  const auto deleted = static_cast<uint32_t>(writes.size());
+  writes.push_back(
+      table_write{.key = PruneKey(),
+                  .value = std::to_string(deleted),
+                  .expected_version =
+                      guard.has_value() ? guard.assume_value().version : 0});
+  BOOST_OUTCOME_TRY(table.Write(writes));
   return deleted;
 }
 
--- a/packages/core/include/tarragondrift/core/membership_base.h
+++ b/packages/core/include/tarragondrift/core/membership_base.h
@@ -67,6 +67,8 @@
   incarnation self;
   uint16_t data_centre = 0;
   std::string address;
+  /// Addresses from the settings, probed in turns while nobody known has them.
+  std::vector<std::string> seeds;
   std::chrono::milliseconds beat_interval{500};
   /// Between the speakers of two data centres.
   std::chrono::milliseconds far_beat_interval{1'000};
@@ -100,6 +102,7 @@
   size_t slot_turn = 0;
   size_t far_turn = 0;
   size_t probe_turn = 0;
+  size_t seed_turn = 0;
   traffic_count sent;
   traffic_count received;
 };
--- a/packages/core/src/membership_cmd.cc
+++ b/packages/core/src/membership_cmd.cc
@@ -168,7 +168,26 @@
   return silent[state.probe_turn++ % silent.size()];
 }
 
-/// Sends beats to the entries of this data centre, and one to a silent one.
+/// Chooses one of the addresses from the settings that no live peer has.
+/// @return nullptr when there is none.
+const std::string* PickSeed(membership& state, instant now) {
+  std::vector<const std::string*> unheard;
+  for (const std::string& seed : state.options.seeds) {
+    const bool known = std::any_of(state.peers.begin(), state.peers.end(),
+                                   [&](const auto& item) {
+                                     return item.second.last.address == seed &&
+                                            IsLive(state, item.second, now);
+                                   });
+    if (!known && seed != state.options.address) {
+      unheard.push_back(&seed);
+    }
+  }
+  return unheard.empty() ? nullptr
+                         : unheard[state.seed_turn++ % unheard.size()];
+}
+
+/// Sends beats to the entries of this data centre, to a silent one and to a
+/// seed.
 void BeatNear(membership& state, const heartbeat& header, const heartbeat& self,
               instant now, std::vector<beat_target>& out) {
   heartbeat message = header;
@@ -194,6 +213,9 @@
   if (const peer* const probed = PickProbe(state, std::move(silent))) {
     Send(state, probed->last.address, message, out);
   }
+  if (const std::string* const seed = PickSeed(state, now)) {
+    Send(state, *seed, message, out);
+  }
 }
 
 /// The entries of one other data centre by how they can be reached.
--- a/packages/core/test/membership_test.cc
+++ b/packages/core/test/membership_test.cc
@@ -256,6 +256,16 @@
   CHECK(seen["9"] == 10);
 }
 
+TEST_CASE("An entry that knows nobody finds peers through its seeds") {
+  group all = MakeGroup(1, 2);
+  Run(all, 5s);
+  membership& fresh = Start(all, 1, 12);
+  fresh.options.seeds = {Address(1, 12), "10.1.0.99:7000", Address(1, 11)};
+  Run(all, 3s);
+  CHECK(LiveEntries(fresh, 1, all.now).size() == 2);
+  CHECK(LiveEntries(Entry(all, 1, 11), 1, all.now).size() == 3);
+}
+
 TEST_CASE("Silent entries are remembered up to a limit") {
   membership state = MakeMembership(
       membership_options{.self = incarnation{1}, .most_silent_peers = 4});
