Core starts at most once: records, fences, kept answers, drain, key owners

Cause: the thin core kept no promise under failure. A second end of an attempt released a slot twice; an evicted answer moved the watermark over unused tickets; a given-up job held its answer back; key claims, intent records and hand-over did nothing; a renumbered configuration changed the terms of a job that ran. Now: one bit for each minted id tells used from unused; every 'not run' uses its id up; a keyed refusal promises nothing and leaves the key good; a fence in the intent's place proves 'not run'; hand-over is confirmed batch by batch; keys that carry their issue time are owned by granted interval. The test 'an unknown outcome fails the job whole' wanted the answer held back until running attempts end. That contradicts the rule that a request that is given up on gets its final answer at once; it is replaced by one that wants the answer at once, its tasks told as unknown, and the slot freed once. New code 404 refused_for_now; 110 no longer promises 'not run'.

--- a/packages/core/include/tarragondrift/core/entry_base.h
+++ b/packages/core/include/tarragondrift/core/entry_base.h
@@ -6,15 +6,19 @@
 #include <chrono>
 #include <cstdint>
 #include <deque>
-#include <map>
+#include <functional>
 #include <memory>
+#include <optional>
+#include <queue>
 #include <string>
 #include <unordered_map>
 #include <variant>
 #include <vector>
 
+#include "tarragondrift/core/answer_store_base.h"
 #include "tarragondrift/core/dispatch_base.h"
 #include "tarragondrift/core/job_base.h"
+#include "tarragondrift/core/key_owner_base.h"
 #include "tarragondrift/core/submission_base.h"
 
 namespace tarragondrift {
@@ -25,14 +29,45 @@
   auto operator<=>(const waiter_id&) const = default;
 };
 
+/// A rule that a test breaks on purpose, to show that its checker notices.
+enum class broken_rule : uint8_t {
+  kNone,
+  /// Ids that were used, or lie below the watermark, are taken for new.
+  kSkipWatermark,
+  /// What may have been started, or claimed, is started all the same.
+  kStartAfterLostReply,
+  /// An entry that did not mint the id of a forwarded submission runs it.
+  kForwardTwice,
+  /// An id is forgotten together with its answer.
+  kEvictEarly,
+  /// The entry ends before a successor has confirmed its kept answers.
+  kHandOverLate,
+};
+
 /// Options of an entry's core.
 struct entry_options {
   uint16_t data_centre = 0;
   incarnation self;
-  /// Ended submissions whose answers are kept for resubmissions.
+  /// Ended jobs whose answers are kept for resubmissions.
   size_t most_kept_answers = 50'000;
-  /// Bytes of the bodies of kept answers.
+  /// Bytes of the kept answers.
   size_t most_kept_bytes = 64U << 20U;
+  /// Refusals that are kept for resubmissions.
+  size_t most_kept_refusals = 10'000;
+  /// Minted ids that are told apart as used and unused; older are refused.
+  uint64_t remembered_sequences = 1U << 20U;
+  /// Ids that one caller gets at once.
+  uint32_t most_tickets_at_once = 4'096;
+  /// Between two tries of a record whose outcome is not known.
+  std::chrono::milliseconds record_retry{200};
+  /// When to come back after a refusal that passes.
+  std::chrono::milliseconds retry_after{500};
+  /// Ended submissions in one message to a successor.
+  size_t most_handed_at_once = 256;
+  /// Bytes after which a message to a successor is closed.
+  size_t most_handed_bytes = 1U << 20U;
+  /// Only tests and the safety bench set it.
+  broken_rule broken_for_test = broken_rule::kNone;
   dispatch_options dispatch;
 };
 
@@ -46,34 +81,56 @@
 
 /// How far a job has come.
 enum class job_stage : uint8_t {
-  /// Waits for its idempotency key or intent record; nothing has started.
+  /// Waits for its idempotency key; whether another submission runs under the
+  /// key is not known.
+  kClaiming,
+  /// Waits for its intent record; nothing has started.
   kRecording,
   kRunning,
-  /// Its answer is decided; attempts that run are waited for.
-  kEnding,
+};
+
+/// What a job keeps of its contract; a later configuration may number the
+/// contracts otherwise.
+struct contract_terms {
+  bool idempotent = false;
+  bool recorded = false;
+  uint32_t most_attempts = 1;
+  std::chrono::milliseconds longest_running{0};
 };
 
 /// A job between acceptance and answer.
 struct job {
   submission_id id;
   job_request request;
+  contract_terms terms;
   std::vector<job_task> tasks;
   std::vector<waiter_id> waiters;
   job_stage stage = job_stage::kRunning;
-  /// What the job will be answered with unless all of its tasks succeed.
-  result_code failure = result_code::kOk;
   uint32_t running = 0;
   uint32_t unfinished = 0;
-  bool any_started = false;
+  /// Attempts that were not refused.
+  uint32_t started = 0;
   instant accepted;
   instant deadline;
+  /// When a record with an unknown outcome is tried again.
+  std::optional<instant> next_record;
 };
 
-/// A submission that this entry owns: running, or ended with its answer kept.
+/// A submission as this entry knows it: running, ended with its answer kept,
+/// or only another name of the submission that holds its idempotency key.
 struct submission {
+  /// All zeros: the content is not known, and any will do.
   content_digest digest;
   job_id job;
   job_answer_ptr answer;
+  std::optional<submission_id> holder;
+};
+
+/// When a job has to be given up.
+struct job_deadline {
+  instant at;
+  job_id job;
+  auto operator<=>(const job_deadline&) const = default;
 };
 
 /// Asks the upstream client to start one attempt.
@@ -98,6 +155,8 @@
   waiter_id waiter;
   incarnation owner;
   std::shared_ptr<const job_request> request;
+  /// The request's contract wants intent records.
+  bool recorded = false;
 };
 
 /// Asks for the conditional insert of an idempotency key.
@@ -112,6 +171,18 @@
   submission_id id;
 };
 
+/// Asks whether a lost owner recorded an intent, and if not, to insert a mark
+/// in the record's place, so that the owner can't record it any more.
+struct fence_intent {
+  waiter_id waiter;
+  submission_id id;
+};
+
+/// Asks for the conditional insert of a key interval for this entry.
+struct claim_interval {
+  key_interval interval;
+};
+
 /// An answer on its way to a successor.
 struct kept_answer {
   content_digest digest;
@@ -123,8 +194,9 @@
   std::vector<kept_answer> answers;
 };
 
-using action = std::variant<start_task, deliver_answer, forward_submission,
-                            claim_key, record_intent, hand_over>;
+using action =
+    std::variant<start_task, deliver_answer, forward_submission, claim_key,
+                 record_intent, hand_over, fence_intent, claim_interval>;
 using actions = std::vector<action>;
 
 /// How a call to the table service ended.
@@ -136,7 +208,9 @@
   kUnknown,
 };
 
-/// What the table service said about an idempotency key.
+/// What the table service said about an idempotency key. A conflict with the
+/// entry's own earlier insert is read back and told as kConflict with the same
+/// holder, or as kApplied.
 struct key_claim {
   store_outcome outcome = store_outcome::kUnavailable;
   /// With kConflict: who holds the key, and for which content.
@@ -144,24 +218,69 @@
   content_digest holder_digest;
 };
 
+/// What became of a submission on its way to the entry that minted its id.
+enum class forward_outcome : uint8_t {
+  /// No answer; it may have arrived.
+  kUnreachable,
+  /// That incarnation has ended, and no successor has its answers.
+  kOwnerGone,
+};
+
+/// What the table service said about the intent of a lost owner.
+enum class fence_outcome : uint8_t {
+  /// There was no record, and now there can't be one.
+  kFenced,
+  kRecorded,
+  kUnknown,
+};
+
+/// How a message to a successor ended.
+struct handover_result {
+  bool accepted = false;
+  incarnation successor;
+};
+
 /// Whether an entry takes submissions.
 enum class entry_stage : uint8_t { kServing, kDraining, kDrained };
 
+/// Ended submissions on their way to a successor.
+struct handover_state {
+  /// Still to be sent, oldest first.
+  std::deque<submission_id> waiting;
+  /// Sent and not confirmed.
+  std::vector<submission_id> sent;
+  /// Who confirmed the earlier ones.
+  incarnation successor;
+};
+
+/// Hashes a task reference for the unordered containers.
+struct task_ref_hash {
+  size_t operator()(const task_ref& task) const;
+};
+
+/// Tells whether an idempotent single request may be sent again now; a retry
+/// budget takes a token here. Without one, only the attempts are limited.
+using retry_hook = std::function<bool(const placement& failed, instant now)>;
+
 /// All that one entry's decisions depend on.
 struct entry {
   entry_options options;
   entry_stage stage = entry_stage::kServing;
   std::shared_ptr<const config_document> config;
-  uint64_t next_sequence = 1;
-  /// Ids below it that are not in the table are never started.
-  uint64_t watermark = 1;
   std::unordered_map<submission_id, submission, submission_id_hash> submissions;
-  /// Sequences of kept answers, oldest first.
-  std::deque<uint64_t> kept;
-  size_t kept_bytes = 0;
+  answer_store kept;
+  handover_state handover;
+  key_owners keys;
   pool<job, job_id> jobs;
+  /// A heap, soonest first; jobs that have ended are skipped.
+  std::priority_queue<job_deadline, std::vector<job_deadline>, std::greater<>>
+      deadlines;
+  /// Jobs whose record is tried again, in any order.
+  std::vector<job_id> record_retries;
   dispatcher dispatch;
-  std::map<task_ref, placement> running;
+  /// Attempts that hold a slot, also those of jobs that were given up.
+  std::unordered_map<task_ref, placement, task_ref_hash> running;
+  retry_hook allow_retry;
 };
 
 }  // namespace tarragondrift
--- a/packages/core/include/tarragondrift/core/result_code.h
+++ b/packages/core/include/tarragondrift/core/result_code.h
@@ -54,6 +54,7 @@
   kOwnerUnreachable = 401,
   kAnswerExpired = 402,
   kOwnerGone = 403,
+  kRefusedForNow = 404,
 
   // 5xx: the platform.
   kStoreUnavailable = 500,
--- /dev/null
+++ b/packages/core/src/answer_store_cmd.cc
@@ -0,0 +1,113 @@
+#include "tarragondrift/core/answer_store_cmd.h"
+
+#include <algorithm>
+#include <cassert>
+#include <utility>
+
+namespace tarragondrift {
+namespace {
+
+/// Forgets a submission; its bit in the window stays, so that its id is never
+/// taken for a new one.
+void Forget(entry& state, const submission_id& id) {
+  const auto at = state.submissions.find(id);
+  assert(at != state.submissions.end());
+  state.submissions.erase(at);
+  const bool own = id.owner == state.options.self;
+  if (own && state.options.broken_for_test == broken_rule::kEvictEarly) {
+    sequence_window& window = state.kept.window;
+    window.used[id.sequence % window.used.size()] = false;
+  }
+}
+
+/// Forgets the oldest answers of jobs beyond the limits.
+void EvictAnswers(entry& state) {
+  answer_store& kept = state.kept;
+  while (!kept.answers.empty() &&
+         (kept.answers.size() > state.options.most_kept_answers ||
+          kept.bytes > state.options.most_kept_bytes)) {
+    const submission_id oldest = kept.answers.front();
+    kept.answers.pop_front();
+    kept.bytes -= AnswerBytes(*state.submissions.at(oldest).answer);
+    Forget(state, oldest);
+  }
+}
+
+/// Notes that an ended submission has still to go to the successor.
+void NoteForHandover(entry& state, const submission_id& id) {
+  if (state.stage == entry_stage::kDraining) {
+    state.handover.waiting.push_back(id);
+  }
+}
+
+}  // namespace
+
+sequence_window MakeSequenceWindow(uint64_t remembered) {
+  assert(remembered > 0);
+  sequence_window window;
+  window.used.resize(remembered);
+  return window;
+}
+
+uint64_t MintSequences(sequence_window& window, uint32_t count) {
+  assert(count <= window.used.size());
+  const uint64_t first = window.next;
+  window.next += count;
+  for (uint64_t sequence = first; sequence < window.next; ++sequence) {
+    window.used[sequence % window.used.size()] = false;
+  }
+  if (window.next - window.oldest > window.used.size()) {
+    window.oldest = window.next - window.used.size();
+  }
+  return first;
+}
+
+void MarkUsed(sequence_window& window, uint64_t sequence) {
+  assert(sequence < window.next);
+  if (sequence >= window.oldest) {
+    window.used[sequence % window.used.size()] = true;
+  }
+}
+
+void MarkUnused(sequence_window& window, uint64_t sequence) {
+  if (sequence >= window.oldest) {
+    window.used[sequence % window.used.size()] = false;
+  }
+}
+
+bool IsUsed(const sequence_window& window, uint64_t sequence) {
+  assert(sequence < window.next);
+  return sequence < window.oldest || window.used[sequence % window.used.size()];
+}
+
+size_t AnswerBytes(const job_answer& answer) {
+  size_t bytes = sizeof(job_answer) + sizeof(submission);
+  for (const task_answer& task : answer.tasks) {
+    bytes += sizeof(task_answer) + task.name.capacity() + task.body.capacity();
+  }
+  return bytes;
+}
+
+void KeepAnswer(entry& state, const submission_id& id, job_answer_ptr answer) {
+  submission& record = state.submissions.at(id);
+  record.answer = std::move(answer);
+  record.job = job_id{};
+  state.kept.answers.push_back(id);
+  state.kept.bytes += AnswerBytes(*record.answer);
+  NoteForHandover(state, id);
+  EvictAnswers(state);
+}
+
+void KeepRefusal(entry& state, const submission_id& id,
+                 const submission& refused) {
+  state.submissions[id] = refused;
+  state.kept.refusals.push_back(id);
+  NoteForHandover(state, id);
+  while (state.kept.refusals.size() > state.options.most_kept_refusals) {
+    const submission_id oldest = state.kept.refusals.front();
+    state.kept.refusals.pop_front();
+    Forget(state, oldest);
+  }
+}
+
+}  // namespace tarragondrift
--- /dev/null
+++ b/packages/core/src/drain_cmd.cc
@@ -0,0 +1,137 @@
+// The planned stop of an entry.
+#include <algorithm>
+#include <utility>
+
+#include "tarragondrift/core/answer_store_cmd.h"
+#include "tarragondrift/core/entry_cmd.h"
+#include "tarragondrift/core/job_cmd.h"
+
+namespace tarragondrift {
+namespace {
+
+/// Lists every kept answer as still to be handed over.
+void QueueAll(entry& state) {
+  handover_state& handover = state.handover;
+  handover.waiting.assign(state.kept.answers.begin(), state.kept.answers.end());
+  handover.waiting.insert(handover.waiting.end(), state.kept.refusals.begin(),
+                          state.kept.refusals.end());
+}
+
+/// Takes the next message's worth of answers from those that wait.
+hand_over TakeBatch(entry& state) {
+  hand_over batch;
+  size_t bytes = 0;
+  handover_state& handover = state.handover;
+  while (!handover.waiting.empty() && bytes < state.options.most_handed_bytes &&
+         batch.answers.size() < state.options.most_handed_at_once) {
+    const submission_id id = handover.waiting.front();
+    handover.waiting.pop_front();
+    const auto known = state.submissions.find(id);
+    const bool kept =
+        known != state.submissions.end() && known->second.answer != nullptr;
+    if (!kept) {
+      continue;
+    }
+    batch.answers.push_back(kept_answer{.digest = known->second.digest,
+                                        .answer = known->second.answer});
+    bytes += AnswerBytes(*known->second.answer);
+    handover.sent.push_back(id);
+  }
+  return batch;
+}
+
+/// Tells whether a submission went out with the last message.
+bool WasSent(const handover_state& handover, const submission_id& id) {
+  return std::find(handover.sent.begin(), handover.sent.end(), id) !=
+         handover.sent.end();
+}
+
+/// Starts again with a new successor: it has only the last message.
+void ChangeSuccessor(entry& state, incarnation successor) {
+  const bool first = state.handover.successor == incarnation{};
+  state.handover.successor = successor;
+  if (first) {
+    return;
+  }
+  QueueAll(state);
+  std::erase_if(state.handover.waiting, [&state](const submission_id& id) {
+    return WasSent(state.handover, id);
+  });
+}
+
+/// Tells whether nothing of this entry runs any more, at an upstream either.
+bool HasRunOut(const entry& state) {
+  return state.jobs.size() == 0 && state.running.empty();
+}
+
+}  // namespace
+
+void BeginDrain(entry& state, instant /*now*/, actions& out) {
+  if (state.stage != entry_stage::kServing) {
+    return;
+  }
+  state.stage = entry_stage::kDraining;
+  QueueAll(state);
+  ContinueDrain(state, out);
+}
+
+void ContinueDrain(entry& state, actions& out) {
+  if (state.stage != entry_stage::kDraining || !state.handover.sent.empty()) {
+    return;
+  }
+  if (state.options.broken_for_test == broken_rule::kHandOverLate) {
+    state.stage = HasRunOut(state) ? entry_stage::kDrained : state.stage;
+    return;
+  }
+  hand_over batch = TakeBatch(state);
+  if (!batch.answers.empty()) {
+    out.emplace_back(std::move(batch));
+  } else if (HasRunOut(state)) {
+    state.stage = entry_stage::kDrained;
+  }
+}
+
+void EndHandover(entry& state, const handover_result& ended, actions& out) {
+  handover_state& handover = state.handover;
+  if (ended.accepted && handover.successor != ended.successor) {
+    ChangeSuccessor(state, ended.successor);
+  }
+  if (!ended.accepted) {
+    handover.waiting.insert(handover.waiting.begin(), handover.sent.begin(),
+                            handover.sent.end());
+  }
+  handover.sent.clear();
+  ContinueDrain(state, out);
+}
+
+void ForceDrain(entry& state, instant now, actions& out) {
+  BeginDrain(state, now, out);
+  std::vector<job_id> left;
+  state.jobs.ForEach([&left](job_id id, const job&) { left.push_back(id); });
+  for (const job_id id : left) {
+    const bool started = state.jobs.Get(id).started > 0;
+    FailJob(state, id,
+            started ? result_code::kStoppedAfterStart
+                    : result_code::kNotRunDraining,
+            now, out);
+  }
+  for (hand_over batch = TakeBatch(state); !batch.answers.empty();
+       batch = TakeBatch(state)) {
+    out.emplace_back(std::move(batch));
+  }
+  state.stage = entry_stage::kDrained;
+}
+
+void AcceptHandover(entry& state, const hand_over& handed) {
+  for (const kept_answer& kept : handed.answers) {
+    const submission_id id = kept.answer->id;
+    const bool fresh =
+        state.submissions.try_emplace(id, submission{.digest = kept.digest})
+            .second;
+    if (fresh) {
+      KeepAnswer(state, id, kept.answer);
+    }
+  }
+}
+
+}  // namespace tarragondrift
--- a/packages/core/src/result_code.cc
+++ b/packages/core/src/result_code.cc
@@ -44,29 +44,30 @@
     {kTooManyTasks, "too_many_tasks",
      "The job has more tasks than the limit of a job.", "Split the job.", 422},
     {kNotRunOverloaded, "not_run_overloaded",
-     "The queue is too long; nothing was run.", "Retry after retry_after_ms.",
-     503},
+     "The queue is too long; nothing was run.",
+     "Retry after retry_after_ms with a new id.", 503},
     {kNotRunDeadline, "not_run_deadline",
      "The answer could not be ready by the deadline; nothing was run.",
-     "Retry later or with a later deadline.", 503},
+     "Retry later or with a later deadline, with a new id.", 503},
     {kNotRunQuota, "not_run_quota",
      "The team's quota is spent; nothing was run.",
-     "Retry after retry_after_ms or raise the quota.", 429},
+     "Retry after retry_after_ms with a new id, or raise the quota.", 429},
     {kNotRunDraining, "not_run_draining",
-     "The entry is stopping; nothing was run.", "Retry at another entry.", 503},
+     "The entry is stopping; nothing was run.",
+     "Retry at another entry with a new id.", 503},
     {kNotRunCancelled, "not_run_cancelled",
      "The job was cancelled before its first start; nothing was run.", "None.",
      409},
     {kNotRunStoreUnavailable, "not_run_store_unavailable",
      "A record that must precede the first start could not be written; nothing "
      "was run.",
-     "Retry later with the same id or key.", 503},
+     "Retry later with a new id.", 503},
     {kNotRunNoInstance, "not_run_no_instance",
      "No instance of the upstream can take work; nothing was run.",
-     "Retry after retry_after_ms.", 503},
+     "Retry after retry_after_ms with a new id.", 503},
     {kNotRunNoConfig, "not_run_no_config",
      "The entry has no configuration in force; nothing was run.",
-     "Retry at another entry.", 503},
+     "Retry at another entry with a new id.", 503},
     {kNotRunRecorded, "not_run_recorded",
      "The owner is gone and no intent was recorded; nothing was run.",
      "Submit again with a new id.", 409},
@@ -101,6 +102,10 @@
     {kOwnerGone, "owner_gone",
      "The entry that owned the submission is gone without a successor.",
      "Ask the upstream's own records before submitting again.", 502},
+    {kRefusedForNow, "refused_for_now",
+     "Refused for now; this request started nothing, an earlier one with the "
+     "same key may have.",
+     "Retry after retry_after_ms with the same key.", 503},
     {kStoreUnavailable, "store_unavailable",
      "The platform's table service did not take the call.", "Retry later.",
      503},
@@ -165,7 +170,7 @@
   constexpr uint16_t kNotRunFirst = 100;
   constexpr uint16_t kNotRunEnd = 300;
   const auto number = static_cast<uint16_t>(code);
-  if (code == kContentMismatch || code == kNotRunStaleId) {
+  if (code == kContentMismatch || code == kNotFound || code == kNotRunStaleId) {
     return false;
   }
   return number >= kNotRunFirst && number < kNotRunEnd;
--- /dev/null
+++ b/packages/core/test/drain_test.cc
@@ -0,0 +1,109 @@
+#include <catch2/catch.hpp>
+
+#include "entry_fixture.h"
+
+namespace tarragondrift::test {
+namespace {
+
+using enum attempt_outcome;
+
+/// Runs one job of one task to its end.
+job_request RunOne(entry& state, const std::string& body) {
+  const auto request = MakeTicketRequest(state, 1);
+  const auto starts = Select<start_task>(Submit(state, request));
+  End(state, starts.at(0), kSucceeded, body);
+  return request;
+}
+
+TEST_CASE("a planned stop hands every answer on before it ends") {
+  entry state =
+      MakeServingEntry(entry_options{.self = {7}, .most_handed_at_once = 1});
+  entry successor = MakeServingEntry(8);
+  const auto early = RunOne(state, "early");
+  const auto late = MakeTicketRequest(state, 1);
+  const auto running = Select<start_task>(Submit(state, late));
+
+  actions out;
+  BeginDrain(state, instant{}, out);
+  CHECK(MintTickets(state, 1).error() == result_code::kNotRunDraining);
+  auto handed = Select<hand_over>(out);
+  REQUIRE(handed.size() == 1);
+  AcceptHandover(successor, handed[0]);
+  out.clear();
+  EndHandover(state, {.accepted = true, .successor = {8}}, out);
+  CHECK(out.empty());
+  CHECK(state.stage == entry_stage::kDraining);
+
+  const actions ended = End(state, running[0], kSucceeded, "late");
+  CHECK(OnlyCode(ended) == result_code::kOk);
+  handed = Select<hand_over>(ended);
+  REQUIRE(handed.size() == 1);
+
+  SECTION("confirmed: the successor repeats both answers") {
+    AcceptHandover(successor, handed[0]);
+    EndHandover(state, {.accepted = true, .successor = {8}}, out);
+    CHECK(state.stage == entry_stage::kDrained);
+    for (const auto& request : {early, late}) {
+      actions repeated;
+      REQUIRE(SubmitForwarded(successor, request, {1}, instant{}, repeated));
+      CHECK(OnlyCode(repeated) == result_code::kOk);
+    }
+  }
+  SECTION("not confirmed: it is handed over again") {
+    EndHandover(state, {.accepted = false}, out);
+    CHECK(Select<hand_over>(out).size() == 1);
+    CHECK(state.stage == entry_stage::kDraining);
+  }
+  SECTION("another successor gets the earlier answers too") {
+    EndHandover(state, {.accepted = true, .successor = {9}}, out);
+    handed = Select<hand_over>(out);
+    REQUIRE(handed.size() == 1);
+    CHECK(handed[0].answers[0].answer->id == *early.id);
+    EndHandover(state, {.accepted = true, .successor = {9}}, out);
+    CHECK(state.stage == entry_stage::kDrained);
+  }
+}
+
+TEST_CASE("an entry with nothing kept and nothing running drains at once") {
+  entry state = MakeServingEntry(7);
+  actions out;
+  BeginDrain(state, instant{}, out);
+  CHECK(out.empty());
+  CHECK(state.stage == entry_stage::kDrained);
+}
+
+TEST_CASE("a drain waits for attempts of jobs that were given up") {
+  entry state = MakeServingEntry(7);
+  const auto starts = Select<start_task>(Submit(state, MakeRequest(2)));
+  End(state, starts[0], kFailed);
+  actions out;
+  BeginDrain(state, instant{}, out);
+  EndHandover(state, {.accepted = true, .successor = {8}}, out);
+  CHECK(state.stage == entry_stage::kDraining);
+  End(state, starts[1], kSucceeded);
+  CHECK(state.stage == entry_stage::kDrained);
+}
+
+TEST_CASE("a forced end answers every job truthfully") {
+  entry state = MakeServingEntry(7);
+  const auto started = MakeTicketRequest(state, 2);
+  const auto waiting = MakeTicketRequest(state, 1);
+  Submit(state, started, 1);
+  Submit(state, waiting, 2);
+  actions out;
+  ForceDrain(state, instant{}, out);
+  CHECK(state.stage == entry_stage::kDrained);
+  const auto answers = Select<deliver_answer>(out);
+  REQUIRE(answers.size() == 2);
+  for (const auto& answer : answers) {
+    CHECK(answer.answer->code == (answer.waiter == waiter_id{1}
+                                      ? result_code::kStoppedAfterStart
+                                      : result_code::kNotRunDraining));
+  }
+  const auto handed = Select<hand_over>(out);
+  REQUIRE(handed.size() == 1);
+  CHECK(handed[0].answers.size() == 2);
+}
+
+}  // namespace
+}  // namespace tarragondrift::test
--- /dev/null
+++ b/packages/core/test/key_owner_test.cc
@@ -0,0 +1,99 @@
+#include <array>
+#include <catch2/catch.hpp>
+
+#include "entry_fixture.h"
+#include "tarragondrift/core/key_owner_cmd.h"
+
+namespace tarragondrift::test {
+namespace {
+
+using enum attempt_outcome;
+using namespace std::chrono_literals;  // NOLINT: literals only
+
+const std::string kUuid = "017f22e2-79b0-7cc3-98c4-dc0c0c07398f";
+constexpr auto kUuidTime = std::chrono::milliseconds(1'645'557'742'000);
+
+TEST_CASE("a key tells its home and issue time, in one spelling") {
+  const auto uuid = ParseIssuedKey("0001:" + kUuid);
+  REQUIRE(uuid.has_value());
+  CHECK(uuid->home_data_centre == 1);
+  CHECK(uuid->issued == kUuidTime);
+  const auto ulid = ParseIssuedKey("0002:01ARZ3NDEKTSV4RRFFQ69G5FAV");
+  REQUIRE(ulid.has_value());
+  CHECK(ulid->issued == std::chrono::milliseconds(1'469'922'850'259));
+  for (const std::string text :
+       {"order 7", "", "0001:", "1:017f22e2-79b0-7cc3-98c4-dc0c0c07398f",
+        "0001:017F22E2-79B0-7CC3-98C4-DC0C0C07398F",
+        "0001:017f22e2-79b0-4cc3-98c4-dc0c0c07398f",
+        "0001:017f22e2-79b0-7cc3-f8c4-dc0c0c07398f",
+        "0002:81ARZ3NDEKTSV4RRFFQ69G5FAV"}) {
+    INFO(text);
+    CHECK_FALSE(ParseIssuedKey(text).has_value());
+  }
+}
+
+TEST_CASE("a key of an owned interval runs once without a store call") {
+  entry state = MakeServingEntry(7);
+  auto request = MakeRequest(1);
+  request.idempotency_key = "0001:" + kUuid;
+  const actions ungranted = Submit(state, request);
+  CHECK(OnlyCode(ungranted) == result_code::kRefusedForNow);
+  const auto asked = Select<claim_interval>(ungranted);
+  REQUIRE(asked.size() == 1);
+  CHECK(Select<claim_interval>(Submit(state, request)).empty());
+
+  SECTION("granted to this entry") {
+    EndIntervalClaim(state, asked[0].interval, store_outcome::kApplied, {7});
+    const actions submitted = Submit(state, request);
+    CHECK(Select<claim_key>(submitted).empty());
+    const auto starts = Select<start_task>(submitted);
+    REQUIRE(starts.size() == 1);
+    CHECK(Submit(state, request, 2).empty());
+    End(state, starts[0], kSucceeded, "x");
+    CHECK(OnlyCode(Submit(state, request)) == result_code::kOk);
+    SECTION("and closed for good when too many keys are remembered") {
+      state.keys.most_keys = 1;
+      auto later = request;
+      later.idempotency_key[5 + 11] = '1';
+      const auto interval = IntervalOf(state.keys.options,
+                                       *ParseIssuedKey(later.idempotency_key));
+      LearnInterval(state.keys, {7}, interval, {7});
+      Submit(state, later);
+      LearnInterval(state.keys, {7}, asked[0].interval, {7});
+      CHECK(OnlyCode(Submit(state, request)) == result_code::kAnswerExpired);
+    }
+  }
+  SECTION("granted to another entry: forwarded, and never run here") {
+    EndIntervalClaim(state, asked[0].interval, store_outcome::kConflict, {8});
+    const auto forwards = Select<forward_submission>(Submit(state, request));
+    REQUIRE(forwards.size() == 1);
+    CHECK(forwards[0].owner == incarnation{8});
+    actions out;
+    EndForward(state, forwards[0], forward_outcome::kOwnerGone, instant{}, out);
+    CHECK(OnlyCode(out) == result_code::kOutcomeUnknown);
+  }
+  SECTION("an unknown claim decides nothing") {
+    EndIntervalClaim(state, asked[0].interval, store_outcome::kUnknown, {});
+    CHECK(OnlyCode(Submit(state, request)) == result_code::kRefusedForNow);
+  }
+}
+
+TEST_CASE("one live entry of a data centre claims each interval ahead") {
+  const std::array<incarnation, 3> live{{{7}, {8}, {9}}};
+  std::map<key_interval, int> claims;
+  for (const incarnation self : live) {
+    entry state = MakeServingEntry(self.value);
+    actions out;
+    ClaimIntervals(state, live, kUuidTime, out);
+    for (const auto& claim : Select<claim_interval>(out)) {
+      ++claims[claim.interval];
+    }
+  }
+  CHECK(claims.size() == size_t{3} * key_owner_options{}.shards);
+  for (const auto& [interval, count] : claims) {
+    CHECK(count == 1);
+  }
+}
+
+}  // namespace
+}  // namespace tarragondrift::test
--- /dev/null
+++ b/packages/core/test/record_test.cc
@@ -0,0 +1,178 @@
+#include <catch2/catch.hpp>
+
+#include "entry_fixture.h"
+
+namespace tarragondrift::test {
+namespace {
+
+using enum attempt_outcome;
+using namespace std::chrono_literals;  // NOLINT: literals only
+
+job_request MakeKeyRequest(const std::string& key) {
+  job_request request = MakeRequest(1);
+  request.idempotency_key = key;
+  return request;
+}
+
+actions Claimed(entry& state, const claim_key& asked, const key_claim& claim,
+                instant now = {}) {
+  actions out;
+  EndKeyClaim(state, asked.id, claim, now, out);
+  return out;
+}
+
+TEST_CASE("a key is claimed before the first start") {
+  entry state = MakeServingEntry(7);
+  const actions submitted = Submit(state, MakeKeyRequest("order 1"));
+  CHECK(Select<start_task>(submitted).empty());
+  const auto claims = Select<claim_key>(submitted);
+  REQUIRE(claims.size() == 1);
+  using enum store_outcome;
+
+  SECTION("it starts when the claim is applied") {
+    CHECK(Select<start_task>(Claimed(state, claims[0], {.outcome = kApplied}))
+              .size() == 1);
+  }
+  SECTION("a store that is down promises nothing, and the key stays good") {
+    const actions down = Claimed(state, claims[0], {.outcome = kUnavailable});
+    CHECK(OnlyCode(down) == result_code::kStoreUnavailable);
+    const auto again =
+        Select<claim_key>(Submit(state, MakeKeyRequest("order 1")));
+    REQUIRE(again.size() == 1);
+    CHECK(Select<start_task>(Claimed(state, again[0], {.outcome = kApplied}))
+              .size() == 1);
+  }
+  SECTION("a lost reply starts nothing and is asked again") {
+    CHECK(Claimed(state, claims[0], {.outcome = store_outcome::kUnknown})
+              .empty());
+    actions out;
+    TickEntry(state, instant{199ms}, out);
+    CHECK(out.empty());
+    TickEntry(state, instant{200ms}, out);
+    const auto again = Select<claim_key>(out);
+    REQUIRE(again.size() == 1);
+    const actions held = Claimed(state, again[0],
+                                 {.outcome = kConflict,
+                                  .holder = claims[0].id,
+                                  .holder_digest = claims[0].digest});
+    CHECK(Select<start_task>(held).size() == 1);
+  }
+  SECTION("a lost reply that stays lost ends with a code at the deadline") {
+    Claimed(state, claims[0], {.outcome = store_outcome::kUnknown});
+    actions out;
+    TickEntry(state, instant{1'000ms}, out);
+    CHECK(OnlyCode(out) == result_code::kStoreUnavailable);
+    CHECK(Claimed(state, claims[0], {.outcome = kApplied}).empty());
+  }
+  SECTION("a key that another entry holds is forwarded there") {
+    const submission_id holder{2, {8}, 5};
+    const auto forwards = Select<forward_submission>(
+        Claimed(state, claims[0],
+                {.outcome = kConflict,
+                 .holder = holder,
+                 .holder_digest = claims[0].digest}));
+    REQUIRE(forwards.size() == 1);
+    CHECK(forwards[0].owner == incarnation{8});
+    CHECK(forwards[0].request->id == holder);
+    CHECK(forwards[0].request->tasks.size() == 1);
+    CHECK(ResolveSubmission(state, claims[0].id) == holder);
+  }
+  SECTION("a key held for other content is refused") {
+    CHECK(OnlyCode(Claimed(state, claims[0],
+                           {.outcome = kConflict,
+                            .holder = {2, {8}, 5},
+                            .holder_digest = {3, 3}})) ==
+          result_code::kContentMismatch);
+  }
+  SECTION("a cancel before the claim is known can't promise not run") {
+    actions out;
+    REQUIRE(CancelJob(state, claims[0].id, instant{}, out));
+    CHECK(OnlyCode(out) == result_code::kOutcomeUnknown);
+    CHECK(Claimed(state, claims[0], {.outcome = kApplied}).empty());
+  }
+}
+
+TEST_CASE("two submissions of one key at one entry run once") {
+  entry state = MakeServingEntry(7);
+  const auto first = Select<claim_key>(Submit(state, MakeKeyRequest("a"), 1));
+  const auto second = Select<claim_key>(Submit(state, MakeKeyRequest("a"), 2));
+  const auto starts = Select<start_task>(
+      Claimed(state, first[0], {.outcome = store_outcome::kApplied}));
+  REQUIRE(starts.size() == 1);
+  CHECK(Claimed(state, second[0],
+                {.outcome = store_outcome::kConflict,
+                 .holder = first[0].id,
+                 .holder_digest = first[0].digest})
+            .empty());
+  const auto answers =
+      Select<deliver_answer>(End(state, starts[0], kSucceeded, "x"));
+  REQUIRE(answers.size() == 2);
+  CHECK(answers[0].answer->id == answers[1].answer->id);
+}
+
+TEST_CASE("an intent is recorded before the first start") {
+  entry state = MakeServingEntry(7);
+  const auto request = MakeTicketRequest(state, 1, kBooking);
+  const auto records = Select<record_intent>(Submit(state, request));
+  REQUIRE(records.size() == 1);
+  actions out;
+  SECTION("applied") {
+    EndIntentRecord(state, records[0].id, store_outcome::kApplied, instant{},
+                    out);
+    CHECK(Select<start_task>(out).size() == 1);
+  }
+  SECTION("fenced by an entry that took this one for gone") {
+    EndIntentRecord(state, records[0].id, store_outcome::kConflict, instant{},
+                    out);
+    CHECK(OnlyCode(out) == result_code::kNotRunRecorded);
+    CHECK(OnlyCode(Submit(state, request)) == result_code::kNotRunRecorded);
+  }
+  SECTION("store down") {
+    EndIntentRecord(state, records[0].id, store_outcome::kUnavailable,
+                    instant{}, out);
+    CHECK(OnlyCode(out) == result_code::kNotRunStoreUnavailable);
+    CHECK(OnlyCode(Submit(state, request)) ==
+          result_code::kNotRunStoreUnavailable);
+  }
+  SECTION("unknown") {
+    EndIntentRecord(state, records[0].id, store_outcome::kUnknown, instant{},
+                    out);
+    CHECK(out.empty());
+    TickEntry(state, instant{200ms}, out);
+    CHECK(Select<record_intent>(out).size() == 1);
+  }
+}
+
+TEST_CASE("a lost owner is answered for truthfully") {
+  entry state = MakeServingEntry(7);
+  auto request = MakeRequest(1, kBooking);
+  request.id = submission_id{1, {8}, 1};
+  const auto sent = Select<forward_submission>(Submit(state, request));
+  actions out;
+  SECTION("out of reach: ask again") {
+    EndForward(state, sent[0], forward_outcome::kUnreachable, instant{}, out);
+    CHECK(OnlyCode(out) == result_code::kOwnerUnreachable);
+  }
+  SECTION("gone, recorded contract: fence, then tell") {
+    EndForward(state, sent[0], forward_outcome::kOwnerGone, instant{}, out);
+    const auto fences = Select<fence_intent>(out);
+    REQUIRE(fences.size() == 1);
+    const auto tell = [&](fence_outcome outcome) {
+      actions told;
+      EndIntentFence(state, fences[0], outcome, told);
+      return OnlyCode(told);
+    };
+    CHECK(tell(fence_outcome::kFenced) == result_code::kNotRunRecorded);
+    CHECK(tell(fence_outcome::kRecorded) == result_code::kOutcomeUnknown);
+    CHECK(tell(fence_outcome::kUnknown) == result_code::kOwnerUnreachable);
+  }
+  SECTION("gone, not recorded: unknown") {
+    request.contract = kQuote;
+    const auto quote = Select<forward_submission>(Submit(state, request));
+    EndForward(state, quote[0], forward_outcome::kOwnerGone, instant{}, out);
+    CHECK(OnlyCode(out) == result_code::kOutcomeUnknown);
+  }
+}
+
+}  // namespace
+}  // namespace tarragondrift::test
--- a/packages/core/test/result_code_test.cc
+++ b/packages/core/test/result_code_test.cc
@@ -41,6 +41,8 @@
   CHECK_FALSE(PromisesNotRun(result_code::kOutcomeUnknown));
   CHECK_FALSE(PromisesNotRun(result_code::kTaskFailed));
   CHECK_FALSE(PromisesNotRun(result_code::kContentMismatch));
+  CHECK_FALSE(PromisesNotRun(result_code::kNotFound));
+  CHECK_FALSE(PromisesNotRun(result_code::kRefusedForNow));
 }
 
 }  // namespace
