--- a/packages/core/include/tarragondrift/core/entry_base.h
+++ b/packages/core/include/tarragondrift/core/entry_base.h
@@ -76,6 +76,8 @@
   task_request request;
   task_state state = task_state::kQueued;
   uint32_t attempts = 0;
+  /// An earlier attempt may have run.
+  bool outcome_lost = false;
   std::string body;
 };
 
--- a/packages/core/src/job_cmd.cc
+++ b/packages/core/src/job_cmd.cc
@@ -23,14 +23,15 @@
 }
 
 /// Tells what is known of a task at the moment when its job is answered.
-task_state FinalState(task_state state) {
-  switch (state) {
+task_state FinalState(const job_task& task) {
+  switch (task.state) {
     case task_state::kQueued:
-      return task_state::kNotStarted;
+      return task.outcome_lost ? task_state::kOutcomeUnknown
+                               : task_state::kNotStarted;
     case task_state::kRunning:
       return task_state::kOutcomeUnknown;
     default:
-      return state;
+      return task.state;
   }
 }
 
@@ -51,12 +52,16 @@
   const bool passes = PromisesNotRun(code) || MaySendAgain(code);
   answer->retry_after =
       passes ? state.options.retry_after : std::chrono::milliseconds{0};
+  if (MaySendAgain(code)) {
+    // Nothing is promised, of no task either: a later request may run them.
+    return answer;
+  }
   const bool whole = code == result_code::kOk;
   answer->tasks.reserve(ended.tasks.size());
   for (job_task& task : ended.tasks) {
     answer->tasks.push_back(
         task_answer{.name = std::move(task.request.name),
-                    .state = FinalState(task.state),
+                    .state = FinalState(task),
                     .body = whole ? std::move(task.body) : std::string{}});
   }
   return answer;
@@ -200,6 +205,7 @@
       FailJob(state, place, result_code::kTaskFailed, now, out);
       break;
     case attempt_outcome::kUnknown:
+      task.outcome_lost = true;
       if (MayRetry(state, owner, placed, now)) {
         Requeue(state, task, placed, now);
         break;
