An id that may be sent again needs its key; grants, claims and fences bounded

Cause, found by thinking as an adversary: a keyed submission that was forgotten could be sent again by its id without the key, and run beside another id that had won the key meanwhile. It now keeps a note that wants the key. A grant that was forgotten and learned again would have opened an interval twice; own grants stay.

--- a/packages/bench/safety/host.cc
+++ b/packages/bench/safety/host.cc
@@ -217,10 +217,9 @@
   const incarnation who = successor->core.options.self;
   Send(all, host.self, successor->self, copies::kMaybeTwo,
        [&all, &host, successor, asked, number, who] {
-         if (successor->core.stage != entry_stage::kServing) {
+         if (!AcceptHandover(successor->core, asked)) {
            return;
          }
-         AcceptHandover(successor->core, asked);
          Send(all, successor->self, host.self, copies::kMaybeTwo,
               [&all, &host, number, who] {
                 FinishHandover(all, host, number,
--- a/packages/core/include/tarragondrift/core/answer_store_cmd.h
+++ b/packages/core/include/tarragondrift/core/answer_store_cmd.h
@@ -19,10 +19,6 @@
 /// Notes that a minted sequence names a submission from now on.
 void MarkUsed(sequence_window& window, uint64_t sequence);
 
-/// Takes a mark back: its submission is known not to have started, and nothing
-/// was promised to its callers, so they may send it again.
-void MarkUnused(sequence_window& window, uint64_t sequence);
-
 /// Tells whether a minted sequence was used, or is too old to know.
 bool IsUsed(const sequence_window& window, uint64_t sequence);
 
@@ -33,8 +29,8 @@
 /// the limits.
 void KeepAnswer(entry& state, const submission_id& id, job_answer_ptr answer);
 
-/// Keeps the refusal of a submission that never became a job, or the note
-/// that another id holds its idempotency key.
+/// Keeps the refusal of a submission that never started, the note that it may
+/// be sent again, or the note that another id holds its idempotency key.
 void KeepRefusal(entry& state, const submission_id& id,
                  const submission& refused);
 
--- a/packages/core/include/tarragondrift/core/entry_base.h
+++ b/packages/core/include/tarragondrift/core/entry_base.h
@@ -126,6 +126,11 @@
   job_id job;
   job_answer_ptr answer;
   std::optional<submission_id> holder;
+  /// It never started, nothing was promised, and it may be sent again, but
+  /// only with an idempotency key: the key's claim is what keeps it safe.
+  bool may_send_again = false;
+  /// Kept among the refusals, not among the answers of jobs.
+  bool refused = false;
 };
 
 /// When a job has to be given up.
@@ -226,6 +231,9 @@
   kUnreachable,
   /// That incarnation has ended, and no successor has its answers.
   kOwnerGone,
+  /// The table has no row of that incarnation, so that its records may have
+  /// been deleted too.
+  kOwnerForgotten,
 };
 
 /// What the table service said about the intent of a lost owner.
--- a/packages/core/include/tarragondrift/core/entry_cmd.h
+++ b/packages/core/include/tarragondrift/core/entry_cmd.h
@@ -50,9 +50,9 @@
                     fence_outcome outcome, actions& out);
 
 /// Attaches a waiter to a submission that was sent before.
-/// @return kNotFound, kAnswerExpired, kNotRunStaleId, kInvalidSubmissionId or
-///   kOwnerUnreachable when there is nothing to attach to; then no action
-///   follows.
+/// @return kNotFound, kAnswerExpired, kNotRunStaleId, kInvalidSubmissionId,
+///   kRefusedForNow or kOwnerUnreachable when there is nothing to attach to;
+///   then no action follows.
 result<void> AwaitAnswer(entry& state, const submission_id& id,
                          waiter_id waiter, instant now, actions& out);
 
@@ -97,7 +97,8 @@
 void ForceDrain(entry& state, instant now, actions& out);
 
 /// Takes over the kept answers of an entry that stops.
-void AcceptHandover(entry& state, const hand_over& handed);
+/// @return false when this entry is stopping itself and took none.
+bool AcceptHandover(entry& state, const hand_over& handed);
 
 /// Claims the key intervals that this entry should own from now on.
 /// @param live the live entries of its data centre, itself included.
--- a/packages/core/include/tarragondrift/core/key_owner_base.h
+++ b/packages/core/include/tarragondrift/core/key_owner_base.h
@@ -29,10 +29,11 @@
 /// A part of the key space: the keys of one home and shard that were issued
 /// in one interval of time.
 struct key_interval {
+  /// Issue time divided by the length of an interval; first, so that the
+  /// oldest intervals are first in order.
+  uint64_t number = 0;
   uint16_t home_data_centre = 0;
   uint16_t shard = 0;
-  /// Issue time divided by the length of an interval.
-  uint64_t number = 0;
   auto operator<=>(const key_interval&) const = default;
 };
 
@@ -51,6 +52,10 @@
   key_owner_options options;
   /// Keys that are remembered; beyond, the oldest interval is closed.
   size_t most_keys = 200'000;
+  /// Grants to others that are remembered; older ones are read again.
+  size_t most_grants = 20'000;
+  /// Claims that wait for the table at once.
+  size_t most_asked = 16;
   /// Grants that were read; a grant never changes.
   std::map<key_interval, incarnation> granted;
   /// Own intervals that are open. An own interval that is not here is closed.
--- a/packages/core/src/answer_store_cmd.cc
+++ b/packages/core/src/answer_store_cmd.cc
@@ -69,12 +69,6 @@
   }
 }
 
-void MarkUnused(sequence_window& window, uint64_t sequence) {
-  if (sequence >= window.oldest) {
-    window.used[sequence % window.used.size()] = false;
-  }
-}
-
 bool IsUsed(const sequence_window& window, uint64_t sequence) {
   assert(sequence < window.next);
   return sequence < window.oldest || window.used[sequence % window.used.size()];
@@ -100,13 +94,19 @@
 
 void KeepRefusal(entry& state, const submission_id& id,
                  const submission& refused) {
-  state.submissions[id] = refused;
+  submission& record = state.submissions[id];
+  record = refused;
+  record.refused = true;
   state.kept.refusals.push_back(id);
   NoteForHandover(state, id);
   while (state.kept.refusals.size() > state.options.most_kept_refusals) {
     const submission_id oldest = state.kept.refusals.front();
     state.kept.refusals.pop_front();
-    Forget(state, oldest);
+    const auto known = state.submissions.find(oldest);
+    // Sent again, it became a job, which is kept elsewhere.
+    if (known != state.submissions.end() && known->second.refused) {
+      Forget(state, oldest);
+    }
   }
 }
 
--- a/packages/core/src/drain_cmd.cc
+++ b/packages/core/src/drain_cmd.cc
@@ -122,7 +122,10 @@
   state.stage = entry_stage::kDrained;
 }
 
-void AcceptHandover(entry& state, const hand_over& handed) {
+bool AcceptHandover(entry& state, const hand_over& handed) {
+  if (state.stage != entry_stage::kServing) {
+    return false;
+  }
   for (const kept_answer& kept : handed.answers) {
     const submission_id id = kept.answer->id;
     const bool fresh =
@@ -132,6 +135,7 @@
       KeepAnswer(state, id, kept.answer);
     }
   }
+  return true;
 }
 
 }  // namespace tarragondrift
--- a/packages/core/src/job_cmd.cc
+++ b/packages/core/src/job_cmd.cc
@@ -83,8 +83,9 @@
     KeepAnswer(state, name, answer);
     return;
   }
-  state.submissions.erase(name);
-  MarkUnused(state.kept.window, name.sequence);
+  const content_digest digest = state.submissions.at(name).digest;
+  KeepRefusal(state, name,
+              submission{.digest = digest, .may_send_again = true});
   ForgetKey(state.keys, key, name);
 }
 
--- a/packages/core/src/key_owner_cmd.cc
+++ b/packages/core/src/key_owner_cmd.cc
@@ -3,6 +3,7 @@
 #include <algorithm>
 #include <boost/container_hash/hash.hpp>
 #include <cassert>
+#include <iterator>
 
 #include "tarragondrift/core/entry_cmd.h"
 
@@ -100,13 +101,19 @@
   });
 }
 
+/// Forgets the oldest grants to others. Own ones stay: an own interval that
+/// was forgotten and learned again would open a second time.
+void TrimGrants(key_owners& owners, incarnation self) {
+  auto at = owners.granted.begin();
+  while (owners.granted.size() > owners.most_grants &&
+         at != owners.granted.end()) {
+    at = at->second == self ? std::next(at) : owners.granted.erase(at);
+  }
+}
+
 /// Closes the oldest open interval: its keys are refused from now on.
 void CloseOldest(key_owners& owners) {
-  const auto oldest =
-      std::min_element(owners.open.begin(), owners.open.end(),
-                       [](const auto& one, const auto& other) {
-                         return one.first.number < other.first.number;
-                       });
+  const auto oldest = owners.open.begin();
   assert(oldest != owners.open.end());
   owners.keys -= oldest->second.size();
   owners.open.erase(oldest);
@@ -144,9 +151,9 @@
 key_interval IntervalOf(const key_owner_options& options,
                         const issued_key& key) {
   return key_interval{
+      .number = static_cast<uint64_t>(key.issued / options.interval_length),
       .home_data_centre = key.home_data_centre,
-      .shard = static_cast<uint16_t>(key.hash % options.shards),
-      .number = static_cast<uint64_t>(key.issued / options.interval_length)};
+      .shard = static_cast<uint16_t>(key.hash % options.shards)};
 }
 
 void LearnInterval(key_owners& owners, incarnation self,
@@ -157,6 +164,7 @@
   if (first && owner == self) {
     owners.open.try_emplace(interval);
   }
+  TrimGrants(owners, self);
 }
 
 key_ruling RuleKey(const key_owners& owners, incarnation self,
@@ -208,7 +216,8 @@
 void AskForInterval(entry& state, const key_interval& interval, actions& out) {
   const bool home = interval.home_data_centre == state.options.data_centre;
   const bool serving = state.stage == entry_stage::kServing;
-  if (home && serving && state.keys.asked.insert(interval).second) {
+  const bool room = state.keys.asked.size() < state.keys.most_asked;
+  if (home && serving && room && state.keys.asked.insert(interval).second) {
     out.emplace_back(claim_interval{.interval = interval});
   }
 }
@@ -220,9 +229,9 @@
       static_cast<uint64_t>(epoch_time / options.interval_length);
   for (uint16_t shard = 0; shard < options.shards; ++shard) {
     for (uint64_t ahead = 0; ahead <= kIntervalsAhead; ++ahead) {
-      const key_interval interval{.home_data_centre = state.options.data_centre,
-                                  .shard = shard,
-                                  .number = current + ahead};
+      const key_interval interval{.number = current + ahead,
+                                  .home_data_centre = state.options.data_centre,
+                                  .shard = shard};
       if (!state.keys.granted.contains(interval) &&
           ShouldClaim(state, live, interval)) {
         AskForInterval(state, interval, out);
--- a/packages/core/src/recovery_cmd.cc
+++ b/packages/core/src/recovery_cmd.cc
@@ -22,7 +22,9 @@
     Answer(state, sent.waiter, id, result_code::kOwnerUnreachable, out);
     return;
   }
-  if (sent.recorded && has_id) {
+  const bool provable =
+      outcome == forward_outcome::kOwnerGone && sent.recorded && has_id;
+  if (provable) {
     out.emplace_back(fence_intent{.waiter = sent.waiter, .id = id});
     return;
   }
--- a/packages/core/src/submission_cmd.cc
+++ b/packages/core/src/submission_cmd.cc
@@ -147,6 +147,11 @@
         deliver_answer{.waiter = coming.waiter, .answer = known.answer});
     return id;
   }
+  if (known.may_send_again) {
+    const bool keyed = !coming.request.idempotency_key.empty();
+    return keyed ? SubmitNew(state, std::move(coming), true, out)
+                 : Refuse(state, coming, result_code::kRefusedForNow, out);
+  }
   if (!known.holder.has_value()) {
     state.jobs.Get(known.job).waiters.push_back(coming.waiter);
     return id;
@@ -287,6 +292,9 @@
     return test == result_code::kOk ? result_code::kNotFound : test;
   }
   const submission& found = known->second;
+  if (found.may_send_again) {
+    return result_code::kRefusedForNow;
+  }
   if (found.answer != nullptr) {
     out.emplace_back(deliver_answer{.waiter = waiter, .answer = found.answer});
   } else {
@@ -319,6 +327,12 @@
   const auto known = state.submissions.find(id);
   if (known != state.submissions.end()) {
     const job_id place = known->second.job;
+    if (known->second.may_send_again) {
+      // This id won't run; another may run under the same key.
+      known->second.may_send_again = false;
+      known->second.answer =
+          MakeRefusal(state, id, result_code::kOutcomeUnknown);
+    }
     if (state.jobs.Find(place) == nullptr) {
       return outcome::success();
     }
--- a/packages/core/test/drain_test.cc
+++ b/packages/core/test/drain_test.cc
@@ -64,6 +64,14 @@
   }
 }
 
+TEST_CASE("an entry that stops takes no answers over") {
+  entry state = MakeServingEntry(7);
+  RunOne(state, "x");
+  actions out;
+  BeginDrain(state, instant{}, out);
+  CHECK_FALSE(AcceptHandover(state, Select<hand_over>(out).at(0)));
+}
+
 TEST_CASE("an entry with nothing kept and nothing running drains at once") {
   entry state = MakeServingEntry(7);
   actions out;
--- a/packages/core/test/key_owner_test.cc
+++ b/packages/core/test/key_owner_test.cc
@@ -78,6 +78,21 @@
   }
 }
 
+TEST_CASE("grants to others are forgotten, own ones never open twice") {
+  key_owners owners;
+  owners.most_grants = 2;
+  const incarnation self{7};
+  const key_interval own{.number = 1, .home_data_centre = 1};
+  LearnInterval(owners, self, own, self);
+  owners.open.clear();
+  for (uint64_t number = 2; number < 9; ++number) {
+    LearnInterval(owners, self, {.number = number}, {8});
+  }
+  CHECK(owners.granted.size() == 2);
+  LearnInterval(owners, self, own, self);
+  CHECK(RuleKey(owners, self, own, "key").kind == key_ruling_kind::kClosed);
+}
+
 TEST_CASE("one live entry of a data centre claims each interval ahead") {
   const std::array<incarnation, 3> live{{{7}, {8}, {9}}};
   std::map<key_interval, int> claims;
--- a/packages/core/test/record_test.cc
+++ b/packages/core/test/record_test.cc
@@ -42,6 +42,32 @@
     CHECK(Select<start_task>(Claimed(state, again[0], {.outcome = kApplied}))
               .size() == 1);
   }
+  SECTION("an id that may be sent again is sent with its key only") {
+    Claimed(state, claims[0], {.outcome = kUnavailable});
+    auto again = MakeRequest(1);
+    again.id = claims[0].id;
+    const actions keyless = Submit(state, again);
+    CHECK(Select<start_task>(keyless).empty());
+    CHECK(OnlyCode(keyless) == result_code::kRefusedForNow);
+    again.idempotency_key = "order 1";
+    const auto claim = Select<claim_key>(Submit(state, again));
+    REQUIRE(claim.size() == 1);
+    CHECK(claim[0].id == claims[0].id);
+    const auto starts =
+        Select<start_task>(Claimed(state, claim[0], {.outcome = kApplied}));
+    REQUIRE(starts.size() == 1);
+    CHECK(OnlyCode(End(state, starts[0], kSucceeded, "x")) == result_code::kOk);
+  }
+  SECTION("an id that may be sent again can be cancelled") {
+    Claimed(state, claims[0], {.outcome = kUnavailable});
+    actions out;
+    CHECK(AwaitAnswer(state, claims[0].id, {1}, instant{}, out).error() ==
+          result_code::kRefusedForNow);
+    REQUIRE(CancelJob(state, claims[0].id, instant{}, out));
+    auto again = MakeKeyRequest("order 1");
+    again.id = claims[0].id;
+    CHECK(OnlyCode(Submit(state, again)) == result_code::kOutcomeUnknown);
+  }
   SECTION("a lost reply starts nothing and is asked again") {
     CHECK(Claimed(state, claims[0], {.outcome = store_outcome::kUnknown})
               .empty());
@@ -166,6 +192,11 @@
     CHECK(tell(fence_outcome::kRecorded) == result_code::kOutcomeUnknown);
     CHECK(tell(fence_outcome::kUnknown) == result_code::kOwnerUnreachable);
   }
+  SECTION("gone so long that its records may be deleted: unknown") {
+    EndForward(state, sent[0], forward_outcome::kOwnerForgotten, instant{},
+               out);
+    CHECK(OnlyCode(out) == result_code::kOutcomeUnknown);
+  }
   SECTION("gone, not recorded: unknown") {
     request.contract = kQuote;
     const auto quote = Select<forward_submission>(Submit(state, request));
--- a/packages/core/test/submission_test.cc
+++ b/packages/core/test/submission_test.cc
@@ -91,6 +91,18 @@
   CHECK(OnlyCode(late) == result_code::kNotRunNoConfig);
 }
 
+TEST_CASE("refusals are bounded, and an evicted one still runs nothing") {
+  entry state =
+      MakeServingEntry(entry_options{.self = {7}, .most_kept_refusals = 1});
+  const auto config = std::exchange(state.config, nullptr);
+  const auto first = MakeTicketRequest(state, 1);
+  Submit(state, first);
+  Submit(state, MakeTicketRequest(state, 1));
+  state.config = config;
+  CHECK(state.submissions.size() == 1);
+  CHECK(OnlyCode(Submit(state, first)) == result_code::kAnswerExpired);
+}
+
 TEST_CASE("kept answers stay within their bytes") {
   entry state = MakeServingEntry(
       entry_options{.self = {7}, .most_kept_bytes = 64U << 10U});
