Group commit of start records within one budget of all entries

Cause: 110000 starts a second can't pay a write each; several hundred writes a second serve all data centres.

--- a/packages/bench/safety/main.cc
+++ b/packages/bench/safety/main.cc
@@ -14,6 +14,7 @@
 #include <vector>
 
 #include "figure.h"
+#include "recorded.h"
 #include "schedule.h"
 #include "sizes.h"
 
@@ -196,6 +197,7 @@
       " mutation=" + std::string(NameOf(options.broken));
   if (options.broken == broken_rule::kNone && !options.expect_caught) {
     PrintSizes();
+    PrintRecorded();
   }
   PrintCodes(sum);
   PrintPromises(sum, context);
--- /dev/null
+++ b/packages/core/test/record_group_test.cc
@@ -0,0 +1,32 @@
+#include <catch2/catch.hpp>
+
+#include "tarragondrift/core/record_group_cmd.h"
+
+namespace tarragondrift {
+namespace {
+
+using namespace std::chrono_literals;  // NOLINT: literals only
+
+TEST_CASE("an entry writes its records together, within its share") {
+  record_group group{.options = {.writes_per_s = 100, .most_rows = 3}};
+  SetWriters(group, 10);
+  CHECK(WriteInterval(group) == 100ms);
+  CHECK(TakeGroup(group, instant{}).empty());
+  for (uint64_t sequence = 1; sequence <= 5; ++sequence) {
+    AddRecord(group, record_intent{.id = {1, {7}, sequence}});
+  }
+  const auto first = TakeGroup(group, instant{});
+  REQUIRE(first.size() == 3);
+  CHECK(std::get<record_intent>(first[0]).id.sequence == 1);
+  CHECK(TakeGroup(group, instant{99ms}).empty());
+  CHECK(TakeGroup(group, instant{100ms}).size() == 2);
+  // A long rest saves up no more than one write.
+  for (uint64_t sequence = 1; sequence <= 5; ++sequence) {
+    AddRecord(group, record_intent{.id = {1, {7}, sequence}});
+  }
+  CHECK(TakeGroup(group, instant{10s}).size() == 3);
+  CHECK(TakeGroup(group, instant{10s}).empty());
+}
+
+}  // namespace
+}  // namespace tarragondrift
