Job tests hold instance health still

Cause: since failures limit an instance to one attempt, two job tests that fail an attempt first found no second slot. They are about jobs, so their fixture turns the watch on instances off; health has tests of its own.

--- a/packages/core/test/entry_fixture.h
+++ b/packages/core/test/entry_fixture.h
@@ -33,6 +33,8 @@
 
 inline entry MakeServingEntry(entry_options options) {
   options.data_centre = 1;
+  // These tests are about jobs; an instance that fails keeps its slots here.
+  options.dispatch.watch_health = false;
   entry state = MakeEntry(options);
   ApplyEntryConfig(state, MakeConfig());
   SetInstance(state.dispatch,
