--- a/packages/bench/policy/main.cc
+++ b/packages/bench/policy/main.cc
@@ -3,44 +3,18 @@
 #include <iostream>
 #include <string>
 
-#include "figure.h"
-#include "scenario.h"
-#include "world.h"
+#include "checks.h"
 
-namespace {
-
-using namespace tarragondrift::bench;  // NOLINT: the program is the bench
-
-void PrintRun(const scenario& plan, const policy& rules,
-              const run_totals& run) {
-  std::cout << "run scenario=" << plan.name << " policy=" << rules.name
-            << " jobs=" << run.jobs << " tasks=" << run.tasks
-            << " p50=" << Percentile(run.slowdowns, 50)
-            << " p99=" << Percentile(run.slowdowns, 99)
-            << " p999=" << Percentile(run.slowdowns, 99.9)
-            << " failed=" << run.failed << " refused=" << run.refused
-            << " messages_per_task="
-            << static_cast<double>(run.messages) /
-                   static_cast<double>(run.tasks)
-            << " loans=" << run.loans << " overruns=" << run.overruns
-            << " bytes_per_s=" << run.bytes_per_s << std::endl;
-}
-
-void CompareAt(const deployment& site) {
-  const scenario plan{.name = site.name, .site = site};
-  std::vector<policy> policies{OwnPolicy()};
-  for (const policy& other : OtherPolicies()) {
-    policies.push_back(other);
-  }
-  for (const policy& rules : policies) {
-    PrintRun(plan, rules, RunWorld(plan, rules));
-  }
-}
-
-}  // namespace
-
-int main() {
-  CompareAt(Rondo());
-  CompareAt(Adwenpa());
+int main(int count, char** arguments) {
+  using namespace tarragondrift::bench;  // NOLINT: the program is the bench
+  // With a folder, the slowdowns of each policy go there for the plot.
+  const std::string folder = count > 1 ? arguments[1] : "";
+  bool met = CheckSlowdowns(folder);
+  met = CheckSaturation() && met;
+  met = CheckFailures() && met;
+  met = CheckShares() && met;
+  met = CheckDesignSize() && met;
+  std::cout << "policy_bench all_bounds_met=" << (met ? "yes" : "no")
+            << std::endl;
   return 0;
 }
