--- a/packages/tool/src/config_command.cc
+++ b/packages/tool/src/config_command.cc
@@ -1,7 +1,8 @@
 // config check, try, promote, status and diff: what operators do.
 #include <cstdlib>
-#include <iomanip>
 #include <nlohmann/json.hpp>
+#include <random>
+#include <sstream>
 
 #include "commands.h"
 #include "entry_client.h"
@@ -13,29 +14,36 @@
 
 constexpr int kIndent = 2;
 
-/// Sends a request to the operators' addresses until one answers. A change is
-/// not repeated elsewhere after a lost reply: whether it took effect is read
-/// by the entry itself when the operator repeats the command.
+/// Sends a request to the operators' addresses until one answers. A change
+/// carries the name of its operation, so that a repeated one meets its own
+/// earlier outcome and is made once.
 entry_reply AskOperators(const tool_settings& settings, entry_request request) {
   http_client client{http_client_options{}};
   request.token = settings.token;
   entry_reply reply;
+  bool reply_lost = false;
   for (const std::string& address : settings.operators) {
     request.address = address;
     reply = SendToEntry(client, request);
-    const bool change = request.method != http_method::kGet;
-    if (reply.contact == entry_contact::kAnswered ||
-        (change && reply.contact == entry_contact::kReplyLost)) {
-      break;
+    if (reply.contact == entry_contact::kAnswered) {
+      return reply;
     }
+    reply_lost = reply_lost || reply.contact == entry_contact::kReplyLost;
   }
-  if (reply.contact == entry_contact::kReplyLost &&
-      request.method != http_method::kGet) {
+  if (reply_lost && request.method != http_method::kGet) {
     reply.error.code = result_code::kConfigOutcomeUnknown;
   }
   return reply;
 }
 
+/// Makes a random name for one change.
+std::string MakeOperation() {
+  std::random_device random;
+  std::ostringstream name;
+  name << std::hex << random() << random();
+  return name.str();
+}
+
 /// Names who makes a change: --by, else the user.
 std::string AuthorOf(const tool_settings& settings) {
   if (!settings.by.empty()) {
@@ -63,6 +71,17 @@
   return body.is_object() ? body.value("errors", json::array()) : json::array();
 }
 
+/// Prints whose change came first, where an answer names it.
+void PrintWinner(const console& console, const json& body) {
+  if (!body.is_object() || !body.contains("winner")) {
+    return;
+  }
+  const json& winner = body.at("winner");
+  console.out << "in force: version " << winner.value("version", uint64_t{0})
+              << " by " << winner.value("by", "") << ", digest "
+              << winner.value("digest", "") << '\n';
+}
+
 /// Prints an answer of the configuration commands, or its error.
 exit_code PrintConfigReply(const console& console, const entry_reply& reply) {
   if (reply.Succeeded()) {
@@ -74,9 +93,21 @@
     return ExitCodeOf(reply.error.code);
   }
   PrintDocumentErrors(console, ErrorsOf(reply.body));
+  PrintWinner(console, reply.body);
   return PrintError(console, reply.error);
 }
 
+/// Sends a change, under a name of its own.
+exit_code RunChange(const tool_settings& settings, const console& console,
+                    const char* path, json body) {
+  body["by"] = AuthorOf(settings);
+  body["operation"] = MakeOperation();
+  return PrintConfigReply(console,
+                          AskOperators(settings, {.method = http_method::kPost,
+                                                  .path = path,
+                                                  .body = body.dump()}));
+}
+
 /// A document as text, or as JSON; a type of its own, as json takes anything.
 struct config_text {
   json body;
@@ -169,21 +200,14 @@
     PrintError(console, text.error());
     return exit_code::kUsage;
   }
-  const json body = {{"document", text.value()}, {"by", AuthorOf(settings)}};
-  return PrintConfigReply(console,
-                          AskOperators(settings, {.method = http_method::kPost,
-                                                  .path = "/v1/config/try",
-                                                  .body = body.dump()}));
+  return RunChange(settings, console, "/v1/config/try",
+                   {{"document", text.value()}});
 }
 
 exit_code RunConfigPromote(const tool_settings& settings,
                            const console& console) {
-  const json body = {{"digest", settings.words.front()},
-                     {"by", AuthorOf(settings)}};
-  return PrintConfigReply(console,
-                          AskOperators(settings, {.method = http_method::kPost,
-                                                  .path = "/v1/config/promote",
-                                                  .body = body.dump()}));
+  return RunChange(settings, console, "/v1/config/promote",
+                   {{"digest", settings.words.front()}});
 }
 
 exit_code RunConfigStatus(const tool_settings& settings,
--- a/packages/tool/src/job_client.cc
+++ b/packages/tool/src/job_client.cc
@@ -41,9 +41,9 @@
                                                    : std::string{};
 }
 
-/// Tells whether an answered body is the final answer to a job.
+/// Tells whether a reply is the final answer to a job.
 bool IsFinal(const entry_reply& reply) {
-  return reply.contact == entry_contact::kAnswered && reply.body.is_object() &&
+  return !MayAskElsewhere(reply) && reply.body.is_object() &&
          TextField(reply.body, "state") == "done";
 }
 
--- a/packages/tool/src/load_command.cc
+++ b/packages/tool/src/load_command.cc
@@ -73,6 +73,17 @@
   std::atomic<size_t> next_ = 0;
 };
 
+/// Counts the requests that an entry has sent to upstreams, peers and platform.
+double CountMessages(const std::string& page) {
+  double messages = 0;
+  for (const char* metric : {"tarragondrift_upstream_requests_total",
+                             "tarragondrift_peer_messages_total",
+                             "tarragondrift_platform_messages_total"}) {
+    messages += SumMetric(page, metric).value_or(0);
+  }
+  return messages;
+}
+
 /// Reads what all entries have spent.
 /// @return nothing unless every entry tells it.
 std::optional<entry_usage> ReadUsage(const tool_settings& settings) {
@@ -93,8 +104,7 @@
     }
     usage.cpu_s += *cpu;
     usage.memory_bytes = std::max(usage.memory_bytes, *memory);
-    usage.messages +=
-        SumMetric(page, "tarragondrift_messages_total").value_or(0);
+    usage.messages += CountMessages(page);
   }
   return usage;
 }
@@ -116,7 +126,7 @@
 /// Prints what the entries spent on the load.
 void PrintUsage(const console& console, const tool_settings& settings,
                 const entry_usage& before, const entry_usage& after,
-                double tasks) {
+                const load_summary& summary, double tasks) {
   if (settings.operators.empty() || tasks == 0) {
     return;
   }
@@ -124,10 +134,10 @@
               (after.cpu_s - before.cpu_s) / tasks, "s");
   PrintFigure(console, "load_entry_memory_mb",
               after.memory_bytes / kBytesOfMegabyte, "mb");
-  if (after.messages > 0) {
-    PrintFigure(console, "load_messages_per_task",
-                (after.messages - before.messages) / tasks, "1");
-  }
+  // A job costs its caller one request.
+  const double messages =
+      after.messages - before.messages + static_cast<double>(summary.jobs);
+  PrintFigure(console, "load_messages_per_task", messages / tasks, "1");
 }
 
 /// Prints how the load was answered.
@@ -165,7 +175,7 @@
   PrintSummary(console, summary, tasks / took.count());
   const auto after = ReadUsage(settings);
   if (after) {
-    PrintUsage(console, settings, *before, *after, tasks);
+    PrintUsage(console, settings, *before, *after, summary, tasks);
   }
   return summary.failed == 0 ? exit_code::kOk : exit_code::kFailed;
 }
