A planned stop hands its key intervals to one heir; length of intervals measured

The last message of a hand-over now carries the intervals with all of their keys; it may go to one entry only, for ever, since two heirs would both run new keys.

--- a/packages/bench/safety/host.cc
+++ b/packages/bench/safety/host.cc
@@ -190,7 +190,11 @@
 
 /// Finds the entry that should take over: the one that took the earlier
 /// answers, or another that is not known to refuse.
-entry_host* ChooseSuccessor(world& all, const entry_host& host) {
+entry_host* ChooseSuccessor(world& all, const entry_host& host,
+                            incarnation only_to) {
+  if (only_to != incarnation{}) {
+    return FindHost(all, only_to);
+  }
   entry_host* chosen = nullptr;
   for (entry_host* const other : LiveHosts(all)) {
     const incarnation who = other->core.options.self;
@@ -207,7 +211,7 @@
 /// Hands answers over to a successor.
 void HandOver(world& all, entry_host& host, const hand_over& asked) {
   const uint64_t number = ++host.handovers;
-  entry_host* const successor = ChooseSuccessor(all, host);
+  entry_host* const successor = ChooseSuccessor(all, host, asked.only_to);
   if (successor == nullptr) {
     host.refused_successors.clear();
     RunLater(all, host.self, kHandoverLimit,
--- a/packages/bench/safety/main.cc
+++ b/packages/bench/safety/main.cc
@@ -14,6 +14,7 @@
 #include <vector>
 
 #include "figure.h"
+#include "intervals.h"
 #include "recorded.h"
 #include "schedule.h"
 #include "sizes.h"
@@ -198,6 +199,7 @@
   if (options.broken == broken_rule::kNone && !options.expect_caught) {
     PrintSizes();
     PrintRecorded();
+    PrintIntervals();
   }
   PrintCodes(sum);
   PrintPromises(sum, context);
--- a/packages/core/include/tarragondrift/core/entry_base.h
+++ b/packages/core/include/tarragondrift/core/entry_base.h
@@ -66,6 +66,8 @@
   size_t most_handed_at_once = 256;
   /// Bytes after which a message to a successor is closed.
   size_t most_handed_bytes = 1U << 20U;
+  /// Idempotency keys that go to a successor with their intervals.
+  size_t most_handed_keys = 20'000;
   /// Only tests and the safety bench set it.
   broken_rule broken_for_test = broken_rule::kNone;
   dispatch_options dispatch;
@@ -196,9 +198,20 @@
   job_answer_ptr answer;
 };
 
+/// A key interval that an entry owned, with all keys that were used of it.
+struct inherited_interval {
+  key_interval interval;
+  interval_keys keys;
+};
+
 /// Asks for kept answers to go to a successor before this entry ends.
 struct hand_over {
   std::vector<kept_answer> answers;
+  /// Intervals that the successor owns from now on.
+  std::vector<inherited_interval> intervals;
+  /// With intervals: the only entry that may ever get this message. Two heirs
+  /// would both run new keys.
+  incarnation only_to;
 };
 
 using action =
@@ -259,8 +272,13 @@
   std::deque<submission_id> waiting;
   /// Sent and not confirmed.
   std::vector<submission_id> sent;
+  /// A message is on its way.
+  bool outstanding = false;
   /// Who confirmed the earlier ones.
   incarnation successor;
+  /// Who gets the key intervals; chosen once, for ever.
+  std::optional<incarnation> heir;
+  uint32_t heir_messages = 0;
 };
 
 /// Hashes a task reference for the unordered containers.
--- a/packages/core/include/tarragondrift/core/entry_cmd.h
+++ b/packages/core/include/tarragondrift/core/entry_cmd.h
@@ -87,7 +87,8 @@
 /// go to a successor by hand_over actions, one at a time.
 void BeginDrain(entry& state, instant now, actions& out);
 
-/// Takes the end of a hand_over. Not accepted: it is asked for again, best to
+/// Takes the end of a hand_over. Accepted: with its key intervals, if it had
+/// any. Not accepted: it is asked for again, best to
 /// another successor. Accepted by another successor than the earlier ones:
 /// those are sent again too.
 void EndHandover(entry& state, const handover_result& ended, actions& out);
@@ -96,7 +97,7 @@
 /// what was not handed over is asked for once more.
 void ForceDrain(entry& state, instant now, actions& out);
 
-/// Takes over the kept answers of an entry that stops.
+/// Takes over the kept answers and key intervals of an entry that stops.
 /// @return false when this entry is stopping itself and took none.
 bool AcceptHandover(entry& state, const hand_over& handed);
 
--- a/packages/core/src/drain_cmd.cc
+++ b/packages/core/src/drain_cmd.cc
@@ -9,6 +9,9 @@
 namespace tarragondrift {
 namespace {
 
+/// Messages with key intervals to the one heir, before they are given up.
+constexpr uint32_t kMostHeirMessages = 4;
+
 /// Lists every kept answer as still to be handed over.
 void QueueAll(entry& state) {
   handover_state& handover = state.handover;
@@ -40,6 +43,53 @@
   return batch;
 }
 
+/// Lists the newest own key intervals, as many as fit into one message; the
+/// keys of the others are refused from now on.
+std::vector<inherited_interval> ListIntervals(const entry& state) {
+  std::vector<inherited_interval> listed;
+  size_t keys = 0;
+  const auto& open = state.keys.open;
+  for (auto at = open.rbegin(); at != open.rend(); ++at) {
+    keys += at->second.size();
+    if (keys > state.options.most_handed_keys) {
+      break;
+    }
+    listed.push_back({.interval = at->first, .keys = at->second});
+  }
+  return listed;
+}
+
+/// Adds the own key intervals to the last message. Without a successor so far,
+/// the message goes out empty, to find one.
+/// @return false when there are none, or they were sent often enough.
+bool AddIntervals(entry& state, hand_over& last) {
+  handover_state& handover = state.handover;
+  if (state.keys.open.empty() || handover.heir_messages >= kMostHeirMessages) {
+    return false;
+  }
+  ++handover.heir_messages;
+  if (handover.successor == incarnation{}) {
+    return true;
+  }
+  handover.heir = handover.heir.value_or(handover.successor);
+  last.only_to = *handover.heir;
+  last.intervals = ListIntervals(state);
+  return true;
+}
+
+/// Takes over the key intervals of an entry that stops, once.
+void Inherit(entry& state, const inherited_interval& handed) {
+  const incarnation self = state.options.self;
+  key_owners& owners = state.keys;
+  const auto granted = owners.granted.find(handed.interval);
+  if (granted != owners.granted.end() && granted->second == self) {
+    return;
+  }
+  owners.granted[handed.interval] = self;
+  owners.open[handed.interval] = handed.keys;
+  owners.keys += handed.keys.size();
+}
+
 /// Tells whether a submission went out with the last message.
 bool WasSent(const handover_state& handover, const submission_id& id) {
   return std::find(handover.sent.begin(), handover.sent.end(), id) !=
@@ -76,17 +126,19 @@
 }
 
 void ContinueDrain(entry& state, actions& out) {
-  if (state.stage != entry_stage::kDraining || !state.handover.sent.empty()) {
+  if (state.stage != entry_stage::kDraining || state.handover.outstanding) {
     return;
   }
   if (state.options.broken_for_test == broken_rule::kHandOverLate) {
     state.stage = HasRunOut(state) ? entry_stage::kDrained : state.stage;
     return;
   }
-  hand_over batch = TakeBatch(state);
-  if (!batch.answers.empty()) {
-    out.emplace_back(std::move(batch));
-  } else if (HasRunOut(state)) {
+  hand_over next = TakeBatch(state);
+  const bool run_out = HasRunOut(state);
+  if (!next.answers.empty() || (run_out && AddIntervals(state, next))) {
+    state.handover.outstanding = true;
+    out.emplace_back(std::move(next));
+  } else if (run_out) {
     state.stage = entry_stage::kDrained;
   }
 }
@@ -101,6 +153,10 @@
                             handover.sent.end());
   }
   handover.sent.clear();
+  handover.outstanding = false;
+  if (ended.accepted && handover.heir.has_value()) {
+    handover.heir_messages = kMostHeirMessages;
+  }
   ContinueDrain(state, out);
 }
 
@@ -135,6 +191,9 @@
       KeepAnswer(state, id, kept.answer);
     }
   }
+  for (const inherited_interval& interval : handed.intervals) {
+    Inherit(state, interval);
+  }
   return true;
 }
 
--- a/packages/core/test/key_owner_test.cc
+++ b/packages/core/test/key_owner_test.cc
@@ -11,6 +11,8 @@
 using namespace std::chrono_literals;  // NOLINT: literals only
 
 const std::string kUuid = "017f22e2-79b0-7cc3-98c4-dc0c0c07398f";
+/// Where a digit of the random part is, in a key with its home.
+constexpr size_t kLastDigits = 30;
 constexpr auto kUuidTime = std::chrono::milliseconds(1'645'557'742'000);
 
 TEST_CASE("a key tells its home and issue time, in one spelling") {
@@ -93,6 +95,56 @@
   CHECK(RuleKey(owners, self, own, "key").kind == key_ruling_kind::kClosed);
 }
 
+TEST_CASE("a planned stop hands key intervals to one heir") {
+  entry state = MakeServingEntry(7);
+  entry heir = MakeServingEntry(8);
+  auto request = MakeRequest(1);
+  request.idempotency_key = "0001:" + kUuid;
+  const auto interval =
+      IntervalOf(state.keys.options, *ParseIssuedKey(request.idempotency_key));
+  LearnInterval(state.keys, {7}, interval, {7});
+  LearnInterval(heir.keys, {8}, interval, {7});
+  const auto starts = Select<start_task>(Submit(state, request));
+  End(state, starts.at(0), kSucceeded, "x");
+
+  actions out;
+  BeginDrain(state, instant{}, out);
+  REQUIRE(AcceptHandover(heir, Select<hand_over>(out).at(0)));
+  actions last;
+  EndHandover(state, {.accepted = true, .successor = {8}}, last);
+  const auto handed = Select<hand_over>(last);
+  REQUIRE(handed.size() == 1);
+  CHECK(handed[0].only_to == incarnation{8});
+  actions again;
+  EndHandover(state, {}, again);
+  CHECK(Select<hand_over>(again).at(0).only_to == incarnation{8});
+  REQUIRE(AcceptHandover(heir, handed[0]));
+  EndHandover(state, {.accepted = true, .successor = {8}}, again);
+  CHECK(state.stage == entry_stage::kDrained);
+
+  const auto forward = [&heir](const job_request& sent) {
+    actions told;
+    static_cast<void>(SubmitForwarded(heir, sent, {1}, instant{}, told));
+    return told;
+  };
+  const actions repeated = forward(request);
+  CHECK(Select<start_task>(repeated).empty());
+  CHECK(OnlyCode(repeated) == result_code::kOk);
+  auto fresh = request;
+  const auto in_interval = [&](const job_request& sent) {
+    const auto key = ParseIssuedKey(sent.idempotency_key);
+    return IntervalOf(heir.keys.options, *key) == interval;
+  };
+  do {
+    ++fresh.idempotency_key[kLastDigits];
+  } while (!in_interval(fresh));
+  CHECK(Select<start_task>(forward(fresh)).size() == 1);
+  // A late copy of the message must not bring back the old list of keys.
+  const size_t keys = heir.keys.open.at(interval).size();
+  REQUIRE(AcceptHandover(heir, handed[0]));
+  CHECK(heir.keys.open.at(interval).size() == keys);
+}
+
 TEST_CASE("one live entry of a data centre claims each interval ahead") {
   const std::array<incarnation, 3> live{{{7}, {8}, {9}}};
   std::map<key_interval, int> claims;
