--- /dev/null
+++ b/packages/daemon/src/engine.cc
@@ -0,0 +1,404 @@
+#include "engine.h"
+
+#include <algorithm>
+#include <future>
+#include <utility>
+
+#include "clock.h"
+#include "tarragondrift/core/dispatch_cmd.h"
+
+namespace tarragondrift {
+namespace {
+
+/// How much longer than its caller's wait a forwarded request is held, so
+/// that the owner's reply comes first.
+constexpr std::chrono::milliseconds kForwardMargin{2'000};
+
+/// Blocks until an event was handled that replies with a value.
+template <class Value, class Ask>
+Value AskEngine(Ask ask) {
+  const auto promise = std::make_shared<std::promise<Value>>();
+  std::future<Value> reply = promise->get_future();
+  ask([promise](Value value) { promise->set_value(std::move(value)); });
+  return reply.get();
+}
+
+/// Tells whether a submission may have to be sent to another entry.
+bool MayGoElsewhere(const job_content& content, incarnation self) {
+  return !content.idempotency_key.empty() ||
+         (content.id.has_value() && content.id->owner != self);
+}
+
+/// Takes of a job only what finds a submission that is already known.
+job_request HeadOf(const job_content& content) {
+  return {.id = content.id,
+          .idempotency_key = content.idempotency_key,
+          .digest = content.digest};
+}
+
+}  // namespace
+
+engine::engine(const engine_options& options)
+    : options_(options), state_(MakeEntry(options.entry)) {}
+
+engine::~engine() { Stop(); }
+
+void engine::Start(outside_port& outside) {
+  outside_ = &outside;
+  thread_ = std::thread([this] { Loop(); });
+}
+
+void engine::Stop() {
+  if (!thread_.joinable()) {
+    return;
+  }
+  mailbox_.Close();
+  thread_.join();
+}
+
+// The calls of other threads.
+
+engine_status engine::Status() {
+  return AskEngine<engine_status>(
+      [this](auto done) { Post(status_event{std::move(done)}); });
+}
+
+result<ticket_block> engine::MintTickets(uint32_t count) {
+  return AskEngine<result<ticket_block>>([this, count](auto done) {
+    Post(mint_event{.count = count, .done = std::move(done)});
+  });
+}
+
+void engine::Submit(job_content content, const hold_options& hold,
+                    reply_callback done) {
+  submit_event event{.hold = hold, .done = std::move(done)};
+  if (MayGoElsewhere(content, options_.entry.self)) {
+    event.content = std::make_shared<const job_content>(content);
+  }
+  const auto config = Config();
+  if (config == nullptr) {
+    event.check = result_code::kNotRunNoConfig;
+    event.request = HeadOf(content);
+    Post(std::move(event));
+    return;
+  }
+  job_request head = HeadOf(content);
+  checked<job_request> resolved = ResolveJob(std::move(content), *config);
+  if (resolved) {
+    event.request = std::move(resolved).value();
+  } else {
+    event.check = resolved.error().code;
+    event.request = std::move(head);
+  }
+  Post(std::move(event));
+}
+
+void engine::Await(const submission_id& id, const hold_options& hold,
+                   reply_callback done) {
+  Post(await_event{.id = id, .hold = hold, .done = std::move(done)});
+}
+
+void engine::Cancel(const submission_id& id, bool may_forward,
+                    cancel_callback done) {
+  Post(cancel_event{
+      .id = id, .may_forward = may_forward, .done = std::move(done)});
+}
+
+// The engine's thread.
+
+void engine::Loop() {
+  now_ = Now();
+  next_tick_ = now_;
+  while (!mailbox_.Closed()) {
+    std::vector<engine_event> events = mailbox_.TakeUntil(ToSteady(NextWake()));
+    now_ = Now();
+    for (engine_event& event : events) {
+      std::visit([this](auto& one) { Handle(one); }, event);
+      DoAll();
+    }
+    Tick();
+    ReplyExpired();
+    TestDrained();
+  }
+}
+
+instant engine::NextWake() const {
+  if (expiries_.empty()) {
+    return next_tick_;
+  }
+  return std::min(next_tick_, expiries_.begin()->first);
+}
+
+void engine::Tick() {
+  if (now_ < next_tick_) {
+    return;
+  }
+  next_tick_ = now_ + options_.tick_interval;
+  TickEntry(state_, now_, actions_);
+  DoAll();
+}
+
+void engine::TestDrained() {
+  if (drained_ == nullptr || state_.jobs.size() > 0 || !held_.empty()) {
+    return;
+  }
+  std::exchange(drained_, nullptr)();
+}
+
+// Held requests.
+
+waiter_id engine::Hold(const submission_id& id, const hold_options& hold,
+                       reply_callback done) {
+  const waiter_id waiter{next_waiter_++};
+  const instant expires = now_ + hold.wait;
+  held_.emplace(waiter.value, held_request{.id = id,
+                                           .expires = expires,
+                                           .may_forward = hold.may_forward,
+                                           .done = std::move(done)});
+  expiries_.emplace(expires, waiter.value);
+  return waiter;
+}
+
+void engine::Reply(waiter_id waiter, submission_reply reply) {
+  const auto node = held_.extract(waiter.value);
+  if (node.empty()) {
+    return;
+  }
+  node.mapped().done(std::move(reply));
+}
+
+void engine::Refuse(waiter_id waiter, const submission_id& id,
+                    result_code code) {
+  Reply(waiter, MakeCodeReply(id, code));
+}
+
+void engine::ReplyExpired() {
+  while (!expiries_.empty() && expiries_.begin()->first <= now_) {
+    const waiter_id waiter{expiries_.begin()->second};
+    expiries_.erase(expiries_.begin());
+    const auto held = held_.find(waiter.value);
+    if (held == held_.end()) {
+      continue;
+    }
+    if (held->second.forwarded) {
+      // The owner replies with the status; it has a little longer.
+      held->second.forwarded = false;
+      expiries_.emplace(now_ + kForwardMargin, waiter.value);
+      continue;
+    }
+    ReplyStatus(waiter);
+  }
+}
+
+void engine::ReplyStatus(waiter_id waiter) {
+  const submission_id id = held_.at(waiter.value).id;
+  DropWaiter(state_, id, waiter);
+  const result<job_progress> progress = DescribeJob(state_, id);
+  if (!progress) {
+    Refuse(waiter, id, result_code::kOwnerUnreachable);
+    return;
+  }
+  Reply(waiter, {.id = id, .progress = progress.value()});
+}
+
+// Events.
+
+void engine::Handle(submit_event& event) {
+  const waiter_id waiter = Hold(event.request.id.value_or(submission_id{}),
+                                event.hold, std::move(event.done));
+  held_.at(waiter.value).content = event.content;
+  if (event.check != result_code::kOk) {
+    AttachUnresolved(event, waiter);
+    return;
+  }
+  const result<submission_id> known =
+      SubmitJob(state_, std::move(event.request), waiter, now_, actions_);
+  const auto held = held_.find(waiter.value);
+  if (known && held != held_.end()) {
+    held->second.id = known.value();
+  }
+}
+
+/// A submission whose names are not in force starts nothing. It may still
+/// name one that ran before, of which "not run" would be untrue.
+void engine::AttachUnresolved(const submit_event& event, waiter_id waiter) {
+  if (!event.request.id.has_value()) {
+    // Whether its key has run can't be told without a claim.
+    const bool keyed = !event.request.idempotency_key.empty();
+    Refuse(waiter, {}, keyed ? result_code::kOutcomeUnknown : event.check);
+    return;
+  }
+  const submission_id id = *event.request.id;
+  const auto known = state_.submissions.find(id);
+  if (known != state_.submissions.end() &&
+      known->second.digest != event.request.digest) {
+    Refuse(waiter, id, result_code::kContentMismatch);
+    return;
+  }
+  const result<void> attached = AwaitAnswer(state_, id, waiter, now_, actions_);
+  if (attached) {
+    return;
+  }
+  if (attached.error() == result_code::kNotFound) {
+    Refuse(waiter, id, event.check);
+    return;
+  }
+  AttachOrForward(id, waiter);
+}
+
+void engine::Handle(await_event& event) {
+  const waiter_id waiter = Hold(event.id, event.hold, std::move(event.done));
+  AttachOrForward(event.id, waiter);
+}
+
+void engine::AttachOrForward(const submission_id& id, waiter_id waiter) {
+  const result<void> attached = AwaitAnswer(state_, id, waiter, now_, actions_);
+  if (attached) {
+    return;
+  }
+  held_request& held = held_.at(waiter.value);
+  if (attached.error() != result_code::kOwnerUnreachable || !held.may_forward) {
+    Refuse(waiter, id, attached.error());
+    return;
+  }
+  held.forwarded = true;
+  const auto wait = std::chrono::duration_cast<std::chrono::milliseconds>(
+      held.expires - now_);
+  if (held.content != nullptr) {
+    outside_->Forward(forward_submit{
+        .waiter = waiter, .id = id, .content = held.content, .wait = wait});
+    return;
+  }
+  outside_->Forward(forward_await{.waiter = waiter, .id = id, .wait = wait});
+}
+
+void engine::Handle(cancel_event& event) {
+  const result<void> cancelled = CancelJob(state_, event.id, now_, actions_);
+  const bool foreign = event.id.owner != options_.entry.self;
+  if (!cancelled && foreign && event.may_forward) {
+    outside_->ForwardCancel(event.id, std::move(event.done));
+    return;
+  }
+  event.done(cancelled);
+}
+
+void engine::Handle(mint_event& event) {
+  event.done(tarragondrift::MintTickets(state_, event.count));
+}
+
+void engine::Handle(attempt_ended_event& event) {
+  EndAttempt(state_, event.placed, std::move(event.ended), now_, actions_);
+}
+
+void engine::Handle(claim_ended_event& event) {
+  EndKeyClaim(state_, event.id, event.claim, now_, actions_);
+}
+
+void engine::Handle(record_ended_event& event) {
+  EndIntentRecord(state_, event.id, event.outcome, now_, actions_);
+}
+
+void engine::Handle(forward_ended_event& event) {
+  Reply(event.waiter, std::move(event.reply));
+}
+
+void engine::Handle(config_event& event) {
+  if (ApplyEntryConfig(state_, event.document)) {
+    config_.store(state_.config);
+  }
+}
+
+void engine::Handle(instances_event& event) {
+  if (state_.config == nullptr) {
+    return;
+  }
+  const upstream_id upstream = FindUpstream(*state_.config, event.upstream);
+  if (!upstream.Valid()) {
+    return;
+  }
+  for (upstream_instance& listed : event.instances) {
+    listed.upstream = upstream;
+    const instance_id id = SetInstance(state_.dispatch, listed);
+    if (listed.leaving) {
+      MarkLeaving(state_.dispatch, id, now_);
+    }
+  }
+}
+
+void engine::Handle(handover_event& event) {
+  AcceptHandover(state_, event.handed);
+}
+
+void engine::Handle(drain_event& event) {
+  drained_ = std::move(event.drained);
+  BeginDrain(state_, now_, actions_);
+}
+
+void engine::Handle(force_drain_event& /*event*/) {
+  ForceDrain(state_, now_, actions_);
+}
+
+void engine::Handle(status_event& event) {
+  engine_status status{.stage = state_.stage,
+                       .jobs = state_.jobs.size(),
+                       .queued_tasks = QueuedTasks(state_.dispatch),
+                       .running_attempts = state_.running.size(),
+                       .kept_answers = state_.kept.size(),
+                       .held_requests = held_.size()};
+  if (state_.config != nullptr) {
+    status.config_version = state_.config->version;
+    status.config_digest = state_.config->digest;
+  }
+  state_.dispatch.instances.ForEach(
+      [&status](instance_id, const upstream_instance& instance) {
+        status.instances.push_back(instance);
+      });
+  event.done(std::move(status));
+}
+
+// Actions.
+
+void engine::DoAll() {
+  // Carrying out an action may bring about further ones.
+  while (!actions_.empty()) {
+    actions batch = std::exchange(actions_, {});
+    for (action& one : batch) {
+      std::visit([this](auto& wanted) { Do(wanted); }, one);
+    }
+  }
+}
+
+void engine::Do(start_task& wanted) { outside_->Start(std::move(wanted)); }
+
+void engine::Do(deliver_answer& wanted) {
+  outside_->Answered(*wanted.answer);
+  Reply(wanted.waiter, {.id = wanted.answer->id, .answer = wanted.answer});
+}
+
+void engine::Do(forward_submission& wanted) {
+  const auto held = held_.find(wanted.waiter.value);
+  if (held == held_.end()) {
+    return;
+  }
+  const submission_id id = wanted.request->id.value_or(submission_id{});
+  if (!held->second.may_forward || held->second.content == nullptr) {
+    Refuse(wanted.waiter, id, result_code::kOwnerUnreachable);
+    return;
+  }
+  held->second.id = id;
+  held->second.forwarded = true;
+  const auto wait = std::chrono::duration_cast<std::chrono::milliseconds>(
+      held->second.expires - now_);
+  outside_->Forward(forward_submit{.waiter = wanted.waiter,
+                                   .id = id,
+                                   .content = held->second.content,
+                                   .wait = wait});
+}
+
+void engine::Do(claim_key& wanted) { outside_->Claim(std::move(wanted)); }
+
+void engine::Do(record_intent& wanted) { outside_->Record(wanted); }
+
+void engine::Do(hand_over& wanted) { outside_->HandOver(std::move(wanted)); }
+
+}  // namespace tarragondrift
--- /dev/null
+++ b/packages/daemon/src/engine_events.h
@@ -0,0 +1,121 @@
+// What the other threads tell the engine.
+#ifndef TARRAGONDRIFT_DAEMON_ENGINE_EVENTS_H_
+#define TARRAGONDRIFT_DAEMON_ENGINE_EVENTS_H_
+
+#include <functional>
+#include <memory>
+#include <string>
+#include <variant>
+#include <vector>
+
+#include "tarragondrift/core/entry_cmd.h"
+#include "tarragondrift/gate/submission_port.h"
+
+namespace tarragondrift {
+
+/// A submission, matched with the configuration as far as it could be.
+struct submit_event {
+  job_request request;
+  /// kOk, or which of its names is not in force.
+  result_code check = result_code::kOk;
+  /// What to send to another entry; null when that can't be needed.
+  std::shared_ptr<const job_content> content;
+  hold_options hold;
+  reply_callback done;
+};
+
+/// Someone waits for a submission that was sent before.
+struct await_event {
+  submission_id id;
+  hold_options hold;
+  reply_callback done;
+};
+
+/// Someone cancels a submission.
+struct cancel_event {
+  submission_id id;
+  bool may_forward = true;
+  cancel_callback done;
+};
+
+/// Someone wants tickets.
+struct mint_event {
+  uint32_t count = 0;
+  std::function<void(result<ticket_block>)> done;
+};
+
+/// An attempt ended at an upstream.
+struct attempt_ended_event {
+  placement placed;
+  attempt_result ended;
+};
+
+/// The table service answered the claim of a key.
+struct claim_ended_event {
+  submission_id id;
+  key_claim claim;
+};
+
+/// The table service answered an intent record.
+struct record_ended_event {
+  submission_id id;
+  store_outcome outcome = store_outcome::kUnavailable;
+};
+
+/// Another entry answered a forwarded request, or did not.
+struct forward_ended_event {
+  waiter_id waiter;
+  submission_reply reply;
+};
+
+/// A configuration was found to be in force.
+struct config_event {
+  std::shared_ptr<const config_document> document;
+};
+
+/// All instances of one upstream that the platform lists here.
+struct instances_event {
+  std::string upstream;
+  std::vector<upstream_instance> instances;
+};
+
+/// An entry that stops hands over the answers that it kept.
+struct handover_event {
+  hand_over handed;
+};
+
+/// This entry is to stop; `drained` runs once nothing is left.
+struct drain_event {
+  std::function<void()> drained;
+};
+
+/// This entry is to stop now.
+struct force_drain_event {};
+
+/// What one look at the engine shows.
+struct engine_status {
+  entry_stage stage = entry_stage::kServing;
+  uint64_t config_version = 0;
+  std::string config_digest;
+  size_t jobs = 0;
+  size_t queued_tasks = 0;
+  size_t running_attempts = 0;
+  size_t kept_answers = 0;
+  size_t held_requests = 0;
+  std::vector<upstream_instance> instances;
+};
+
+/// Someone wants to see how the engine stands.
+struct status_event {
+  std::function<void(engine_status)> done;
+};
+
+using engine_event =
+    std::variant<submit_event, await_event, cancel_event, mint_event,
+                 attempt_ended_event, claim_ended_event, record_ended_event,
+                 forward_ended_event, config_event, instances_event,
+                 handover_event, drain_event, force_drain_event, status_event>;
+
+}  // namespace tarragondrift
+
+#endif  // TARRAGONDRIFT_DAEMON_ENGINE_EVENTS_H_
--- /dev/null
+++ b/packages/daemon/src/entry_registry.cc
@@ -0,0 +1,149 @@
+#include "entry_registry.h"
+
+#include <algorithm>
+#include <array>
+#include <charconv>
+#include <nlohmann/json.hpp>
+
+namespace tarragondrift {
+namespace {
+
+using nlohmann::json;
+
+constexpr int kHex = 16;
+/// Successors followed before a cycle is assumed.
+constexpr int kMostSuccessors = 64;
+
+std::string FormatIncarnation(incarnation who) {
+  std::array<char, sizeof(who.value) * 2> digits{};
+  const auto written = std::to_chars(
+      digits.data(), digits.data() + digits.size(), who.value, kHex);
+  return {digits.data(), written.ptr};
+}
+
+std::optional<incarnation> ParseIncarnation(const std::string& text) {
+  incarnation who;
+  const char* const end = text.data() + text.size();
+  const auto read = std::from_chars(text.data(), end, who.value, kHex);
+  if (read.ec != std::errc{} || read.ptr != end) {
+    return std::nullopt;
+  }
+  return who;
+}
+
+std::string RowPrefix(const std::string& environment) {
+  return "entry/" + environment + "/";
+}
+
+/// Reads a row; one that makes no sense is passed over.
+std::optional<entry_row> ParseRow(const std::string& text) {
+  const json value = json::parse(text, nullptr, false);
+  if (!value.is_object()) {
+    return std::nullopt;
+  }
+  try {
+    const auto who = ParseIncarnation(value.at("incarnation"));
+    if (!who.has_value()) {
+      return std::nullopt;
+    }
+    entry_row row{.who = *who,
+                  .data_centre = value.at("data_centre"),
+                  .data_centre_number = value.at("data_centre_number"),
+                  .address = value.at("address"),
+                  .stopped = value.value("stopped", false)};
+    if (value.contains("successor")) {
+      row.successor = ParseIncarnation(value.at("successor"));
+    }
+    return row;
+  } catch (const json::exception&) {
+    return std::nullopt;
+  }
+}
+
+}  // namespace
+
+result<void> WriteEntryRow(table_port& table, const std::string& environment,
+                           const entry_row& row) {
+  json value{{"incarnation", FormatIncarnation(row.who)},
+             {"data_centre", row.data_centre},
+             {"data_centre_number", row.data_centre_number},
+             {"address", row.address},
+             {"stopped", row.stopped}};
+  if (row.successor.has_value()) {
+    value["successor"] = FormatIncarnation(*row.successor);
+  }
+  return table.Write(
+      {{.key = RowPrefix(environment) + FormatIncarnation(row.who),
+        .value = value.dump()}});
+}
+
+result<entry_directory> ReadEntryRows(table_port& table,
+                                      const std::string& environment,
+                                      const entry_directory& before,
+                                      instant now) {
+  const auto rows = table.List(RowPrefix(environment));
+  if (!rows) {
+    return rows.error();
+  }
+  entry_directory entries;
+  for (const table_row& stored : rows.value()) {
+    const auto row = ParseRow(stored.value);
+    if (!row.has_value()) {
+      continue;
+    }
+    known_entry entry{.row = *row, .version = stored.version, .changed = now};
+    const auto known = before.find(row->who);
+    if (known != before.end() && known->second.version == stored.version) {
+      entry.changed = known->second.changed;
+    }
+    entry.live = !row->stopped && now - entry.changed < kEntrySilence;
+    entries.emplace(row->who, entry);
+  }
+  return entries;
+}
+
+std::optional<entry_row> FindOwner(const entry_directory& entries,
+                                   incarnation who) {
+  auto at = entries.find(who);
+  for (int step = 0; step < kMostSuccessors; ++step) {
+    if (at == entries.end()) {
+      return std::nullopt;
+    }
+    const entry_row& row = at->second.row;
+    if (!row.stopped || !row.successor.has_value()) {
+      return row;
+    }
+    at = entries.find(*row.successor);
+  }
+  return std::nullopt;
+}
+
+std::vector<incarnation> LiveEntriesOf(const entry_directory& entries,
+                                       uint16_t data_centre_number,
+                                       incarnation self) {
+  std::vector<incarnation> live{self};
+  for (const auto& [who, entry] : entries) {
+    if (who != self && entry.live &&
+        entry.row.data_centre_number == data_centre_number) {
+      live.push_back(who);
+    }
+  }
+  std::sort(live.begin(), live.end());
+  return live;
+}
+
+uint32_t DivideSlots(const std::vector<incarnation>& entries, incarnation self,
+                     const std::string& instance, uint32_t slots) {
+  const auto at = std::find(entries.begin(), entries.end(), self);
+  if (at == entries.end()) {
+    return 0;
+  }
+  const size_t count = entries.size();
+  const size_t turn = std::hash<std::string>()(instance);
+  const size_t rank =
+      (static_cast<size_t>(at - entries.begin()) + turn) % count;
+  const auto whole = static_cast<uint32_t>(slots / count);
+  return whole + (rank < slots % count ? 1 : 0);
+}
+
+}  // namespace tarragondrift
--- /dev/null
+++ b/packages/daemon/src/logging.cc
@@ -0,0 +1,88 @@
+#include "logging.h"
+
+#include <log4cxx/consoleappender.h>
+#include <log4cxx/fileappender.h>
+#include <log4cxx/logger.h>
+#include <log4cxx/patternlayout.h>
+
+#include <memory>
+
+namespace tarragondrift {
+namespace {
+
+constexpr const char* kPattern =
+    "time=%d{yyyy-MM-ddTHH:mm:ss.SSS}{UTC}Z level=%p %m%n";
+
+log4cxx::LoggerPtr Root() { return log4cxx::Logger::getRootLogger(); }
+
+/// Tells whether a value must be quoted to stay one value.
+bool NeedsQuotes(std::string_view value) {
+  return value.empty() ||
+         value.find_first_of(" \"=\n\r\t\\") != std::string_view::npos;
+}
+
+/// Appends a value in quotes; control characters can't start a line of their
+/// own.
+void AppendQuoted(std::string& line, std::string_view value) {
+  line += '"';
+  for (const char one : value) {
+    if (one == '"' || one == '\\') {
+      line += '\\';
+    }
+    line += static_cast<unsigned char>(one) < ' ' ? ' ' : one;
+  }
+  line += '"';
+}
+
+}  // namespace
+
+void OpenLog(const std::string& target) {
+  const auto layout = std::make_shared<log4cxx::PatternLayout>(kPattern);
+  log4cxx::AppenderPtr appender;
+  if (target == "-") {
+    appender = std::make_shared<log4cxx::ConsoleAppender>(
+        layout, log4cxx::ConsoleAppender::getSystemErr());
+  } else {
+    appender = std::make_shared<log4cxx::FileAppender>(layout, target, true);
+  }
+  Root()->removeAllAppenders();
+  Root()->addAppender(appender);
+  Root()->setLevel(log4cxx::Level::getInfo());
+}
+
+log_event::log_event(log_level level, std::string_view name) : level_(level) {
+  line_ = "event=";
+  line_ += name;
+}
+
+log_event::~log_event() {
+  switch (level_) {
+    case log_level::kInfo:
+      LOG4CXX_INFO(Root(), line_);
+      break;
+    case log_level::kWarning:
+      LOG4CXX_WARN(Root(), line_);
+      break;
+    case log_level::kError:
+      LOG4CXX_ERROR(Root(), line_);
+      break;
+  }
+}
+
+log_event& log_event::With(std::string_view key, std::string_view value) {
+  line_ += ' ';
+  line_ += key;
+  line_ += '=';
+  if (NeedsQuotes(value)) {
+    AppendQuoted(line_, value);
+  } else {
+    line_ += value;
+  }
+  return *this;
+}
+
+log_event& log_event::With(std::string_view key, int64_t value) {
+  return With(key, std::to_string(value));
+}
+
+}  // namespace tarragondrift
--- /dev/null
+++ b/packages/daemon/src/operators_api.cc
@@ -0,0 +1,120 @@
+#include "operators_api.h"
+
+#include <nlohmann/json.hpp>
+
+#include "config_api.h"
+#include "tarragondrift/gate/callers_api.h"
+
+namespace tarragondrift {
+namespace {
+
+using nlohmann::json;
+
+constexpr uint16_t kHttpUnavailable = 503;
+constexpr std::string_view kConfigPrefix = "/v1/config/";
+
+/// Compares in a time that does not depend on where the texts differ.
+bool SameSecret(std::string_view left, std::string_view right) {
+  if (left.size() != right.size()) {
+    return false;
+  }
+  unsigned char differing = 0;
+  for (size_t at = 0; at < left.size(); ++at) {
+    differing |= static_cast<unsigned char>(left[at] ^ right[at]);
+  }
+  return differing == 0;
+}
+
+bool Authorized(const operators_context& context,
+                const server_request& request) {
+  return context.token.empty() ||
+         SameSecret(request.authorization, "Bearer " + context.token);
+}
+
+const char* StageName(entry_stage stage) {
+  switch (stage) {
+    case entry_stage::kServing:
+      return "serving";
+    case entry_stage::kDraining:
+      return "draining";
+    case entry_stage::kDrained:
+      return "drained";
+  }
+  return "drained";
+}
+
+json InstanceJson(const upstream_instance& instance) {
+  return {{"address", instance.address},
+          {"share", instance.share},
+          {"in_flight", instance.in_flight},
+          {"leaving", instance.leaving}};
+}
+
+json EntryJson(const known_entry& entry) {
+  return {{"incarnation", entry.row.who.value},
+          {"data_centre", entry.row.data_centre},
+          {"address", entry.row.address},
+          {"live", entry.live},
+          {"stopped", entry.row.stopped}};
+}
+
+server_response ServeStatus(const operators_context& context) {
+  const engine_status status = context.status();
+  json instances = json::array();
+  for (const upstream_instance& instance : status.instances) {
+    instances.push_back(InstanceJson(instance));
+  }
+  json peers = json::array();
+  for (const auto& [who, entry] : *context.entries()) {
+    if (who != context.self) {
+      peers.push_back(EntryJson(entry));
+    }
+  }
+  const json body{{"incarnation", context.self.value},
+                  {"data_centre", context.data_centre},
+                  {"stage", StageName(status.stage)},
+                  {"config_version", status.config_version},
+                  {"config_digest", status.config_digest},
+                  {"jobs", status.jobs},
+                  {"queued_tasks", status.queued_tasks},
+                  {"running_attempts", status.running_attempts},
+                  {"kept_answers", status.kept_answers},
+                  {"held_requests", status.held_requests},
+                  {"instances", instances},
+                  {"peers", peers}};
+  return {.body = body.dump()};
+}
+
+server_response ServeReady(const operators_context& context) {
+  const bool ready = context.ready();
+  return {.status = static_cast<uint16_t>(ready ? 200 : kHttpUnavailable),
+          .body = json{{"ready", ready}}.dump()};
+}
+
+}  // namespace
+
+server_response ServeOperator(const operators_context& context,
+                              const server_request& request) {
+  if (request.path == "/healthz") {
+    return {.body = R"({"alive":true})"};
+  }
+  if (request.path == "/readyz") {
+    return ServeReady(context);
+  }
+  if (!Authorized(context, request)) {
+    return ErrorResponse({result_code::kUnauthorized, ""});
+  }
+  if (request.path == "/metrics") {
+    return {.body = context.metrics_page(),
+            .content_type = "text/plain; version=0.0.4"};
+  }
+  if (request.path == "/v1/status") {
+    return ServeStatus(context);
+  }
+  if (request.path.starts_with(kConfigPrefix)) {
+    return ServeConfig(*context.table, request);
+  }
+  return ErrorResponse({result_code::kNotFound, "no such path"});
+}
+
+}  // namespace tarragondrift
--- /dev/null
+++ b/packages/daemon/src/outside_port.h
@@ -0,0 +1,46 @@
+// What the engine asks of the rest of the process. Calls return at once; the
+// outcome comes back as an event.
+#ifndef TARRAGONDRIFT_DAEMON_OUTSIDE_PORT_H_
+#define TARRAGONDRIFT_DAEMON_OUTSIDE_PORT_H_
+
+#include <memory>
+
+#include "tarragondrift/core/entry_base.h"
+#include "tarragondrift/gate/submission_port.h"
+
+namespace tarragondrift {
+
+/// A submission on its way to the entry that owns it.
+struct forward_submit {
+  waiter_id waiter;
+  submission_id id;
+  std::shared_ptr<const job_content> content;
+  std::chrono::milliseconds wait{0};
+};
+
+/// A wait on its way to the entry that owns the submission.
+struct forward_await {
+  waiter_id waiter;
+  submission_id id;
+  std::chrono::milliseconds wait{0};
+};
+
+/// The threads and clients around the engine.
+class outside_port {
+ public:
+  virtual ~outside_port() = default;
+
+  virtual void Start(start_task start) = 0;
+  virtual void Claim(claim_key claim) = 0;
+  virtual void Record(record_intent record) = 0;
+  virtual void Forward(forward_submit call) = 0;
+  virtual void Forward(forward_await call) = 0;
+  virtual void ForwardCancel(const submission_id& id, cancel_callback done) = 0;
+  virtual void HandOver(hand_over handed) = 0;
+  /// Told of every answer that is delivered here.
+  virtual void Answered(const job_answer& answer) = 0;
+};
+
+}  // namespace tarragondrift
+
+#endif  // TARRAGONDRIFT_DAEMON_OUTSIDE_PORT_H_
--- /dev/null
+++ b/packages/daemon/src/platform_poller.cc
@@ -0,0 +1,137 @@
+#include "platform_poller.h"
+
+#include <utility>
+
+#include "clock.h"
+#include "config_positions.h"
+#include "logging.h"
+#include "tarragondrift/config/config_store.h"
+
+namespace tarragondrift {
+
+platform_poller::platform_poller(const platform_poller_options& options,
+                                 table_port& table, instance_port& instances,
+                                 engine& target, metrics& counts)
+    : options_(options),
+      table_(table),
+      instances_(instances),
+      engine_(target),
+      counts_(counts),
+      entries_(std::make_shared<const entry_directory>()),
+      last_poll_(Now()),
+      table_thread_(options.interval, [this] { PollTable(); }),
+      instance_thread_(options.interval, [this] { PollInstances(); }) {}
+
+result<void> platform_poller::WriteStopped(
+    std::optional<incarnation> successor) {
+  entry_row row = options_.self;
+  row.stopped = true;
+  row.successor = successor;
+  counts_.messages().platform.fetch_add(1);
+  return WriteEntryRow(table_, options_.environment, row);
+}
+
+/// Logs that a service began to fail or works again, once each.
+void platform_poller::Note(const char* service, bool works) {
+  const std::scoped_lock lock(mutex_);
+  const bool changed =
+      works ? failing_.erase(service) > 0 : failing_.insert(service).second;
+  if (changed) {
+    log_event(works ? log_level::kInfo : log_level::kWarning,
+              works ? "platform_works" : "platform_fails")
+        .With("service", service);
+  }
+}
+
+void platform_poller::PollTable() {
+  PollConfig();
+  PollEntries();
+}
+
+void platform_poller::PollConfig() {
+  const result<environment> where = ParseEnvironment(options_.environment);
+  counts_.messages().platform.fetch_add(1);
+  const result<config_head> head = ReadHead(table_, where.value());
+  Note("config", head.has_value());
+  if (!head || head.value().version == 0 ||
+      (config_ != nullptr && head.value().version <= config_->version)) {
+    return;
+  }
+  counts_.messages().platform.fetch_add(1);
+  result<config_document> loaded = LoadDocument(table_, head.value());
+  if (!loaded) {
+    log_event(log_level::kError, "config_not_loaded")
+        .With("version", static_cast<int64_t>(head.value().version))
+        .With("code", DescribeResultCode(loaded.error()).name);
+    return;
+  }
+  config_document document = std::move(loaded).value();
+  if (config_ != nullptr) {
+    document = KeepPositions(*config_, std::move(document));
+  }
+  config_ = std::make_shared<const config_document>(std::move(document));
+  engine_.Post(config_event{config_});
+  log_event(log_level::kInfo, "config_in_force")
+      .With("version", static_cast<int64_t>(config_->version))
+      .With("digest", config_->digest);
+}
+
+void platform_poller::PollEntries() {
+  const instant now = Now();
+  if (now >= next_row_) {
+    counts_.messages().platform.fetch_add(1);
+    const bool written =
+        WriteEntryRow(table_, options_.environment, options_.self).has_value();
+    Note("entry_row", written);
+    next_row_ = written ? now + kEntryRowInterval : now;
+  }
+  counts_.messages().platform.fetch_add(1);
+  const auto before = entries_.load();
+  auto read = ReadEntryRows(table_, options_.environment, *before, now);
+  Note("entries", read.has_value());
+  if (read) {
+    entries_.store(
+        std::make_shared<const entry_directory>(std::move(read).value()));
+  } else {
+    // Time in which nobody could be seen makes nobody look silent.
+    auto kept = std::make_shared<entry_directory>(*before);
+    for (auto& [who, entry] : *kept) {
+      entry.changed += now - last_poll_;
+    }
+    entries_.store(std::move(kept));
+  }
+  last_poll_ = now;
+}
+
+void platform_poller::PollInstances() {
+  const auto config = engine_.Config();
+  if (config == nullptr) {
+    return;
+  }
+  for (const upstream_config& upstream : config->upstreams) {
+    if (!upstream.name.empty()) {
+      PollUpstream(upstream.name);
+    }
+  }
+}
+
+void platform_poller::PollUpstream(const std::string& upstream) {
+  counts_.messages().platform.fetch_add(1);
+  const auto listed = instances_.List(upstream, options_.self.data_centre);
+  Note("instances", listed.has_value());
+  if (!listed) {
+    return;
+  }
+  const std::vector<incarnation> entries = LiveEntriesOf(
+      *Entries(), options_.self.data_centre_number, options_.self.who);
+  instances_event event{.upstream = upstream};
+  for (const listed_instance& one : listed.value()) {
+    event.instances.push_back({.address = one.address,
+                               .share = DivideSlots(entries, options_.self.who,
+                                                    one.address, one.slots),
+                               .leaving = one.leaving});
+  }
+  engine_.Post(std::move(event));
+}
+
+}  // namespace tarragondrift
--- /dev/null
+++ b/packages/daemon/src/platform_poller.h
@@ -0,0 +1,72 @@
+// Looks at the platform again and again: instances, configuration, entries.
+#ifndef TARRAGONDRIFT_DAEMON_PLATFORM_POLLER_H_
+#define TARRAGONDRIFT_DAEMON_PLATFORM_POLLER_H_
+
+#include <atomic>
+#include <memory>
+#include <mutex>
+#include <optional>
+#include <set>
+#include <string>
+
+#include "engine.h"
+#include "entry_registry.h"
+#include "metrics.h"
+#include "repeating_thread.h"
+#include "tarragondrift/platform/instances.h"
+#include "tarragondrift/platform/table.h"
+
+namespace tarragondrift {
+
+/// Options of a poller.
+struct platform_poller_options {
+  std::string environment;
+  std::chrono::milliseconds interval{1'000};
+  /// This entry's own row.
+  entry_row self;
+};
+
+/// Polls the platform from its construction to its destruction; while a
+/// service is down, what was known last stays in force.
+class platform_poller {
+ public:
+  platform_poller(const platform_poller_options& options, table_port& table,
+                  instance_port& instances, engine& target, metrics& counts);
+  platform_poller(const platform_poller&) = delete;
+  platform_poller& operator=(const platform_poller&) = delete;
+
+  /// Gives the entries as last read.
+  std::shared_ptr<const entry_directory> Entries() const {
+    return entries_.load();
+  }
+
+  /// Writes that this entry stopped, and who has its answers.
+  result<void> WriteStopped(std::optional<incarnation> successor);
+
+ private:
+  void PollTable();
+  void PollConfig();
+  void PollEntries();
+  void PollInstances();
+  void PollUpstream(const std::string& upstream);
+  void Note(const char* service, bool works);
+
+  platform_poller_options options_;
+  table_port& table_;
+  instance_port& instances_;
+  engine& engine_;
+  metrics& counts_;
+  std::atomic<std::shared_ptr<const entry_directory>> entries_;
+  std::shared_ptr<const config_document> config_;
+  instant last_poll_;
+  instant next_row_;
+  std::mutex mutex_;
+  std::set<std::string> failing_;
+  // Last, so that the threads end before what they use.
+  repeating_thread table_thread_;
+  repeating_thread instance_thread_;
+};
+
+}  // namespace tarragondrift
+
+#endif  // TARRAGONDRIFT_DAEMON_PLATFORM_POLLER_H_
--- /dev/null
+++ b/packages/daemon/src/repeating_thread.h
@@ -0,0 +1,40 @@
+// A thread that does one thing again and again.
+#ifndef TARRAGONDRIFT_DAEMON_REPEATING_THREAD_H_
+#define TARRAGONDRIFT_DAEMON_REPEATING_THREAD_H_
+
+#include <chrono>
+#include <functional>
+#include <thread>
+#include <utility>
+
+#include "mailbox.h"
+
+namespace tarragondrift {
+
+/// Calls a function at once and then at each interval until its destruction.
+class repeating_thread {
+ public:
+  repeating_thread(std::chrono::milliseconds interval,
+                   std::function<void()> work)
+      : thread_([this, interval, work = std::move(work)] {
+          while (!stop_.Closed()) {
+            work();
+            stop_.TakeUntil(std::chrono::steady_clock::now() + interval);
+          }
+        }) {}
+  repeating_thread(const repeating_thread&) = delete;
+  repeating_thread& operator=(const repeating_thread&) = delete;
+  ~repeating_thread() {
+    stop_.Close();
+    thread_.join();
+  }
+
+ private:
+  struct nothing {};
+  mailbox<nothing> stop_;
+  std::thread thread_;
+};
+
+}  // namespace tarragondrift
+
+#endif  // TARRAGONDRIFT_DAEMON_REPEATING_THREAD_H_
--- /dev/null
+++ b/packages/gate/src/http_server.cc
@@ -0,0 +1,156 @@
+#include "tarragondrift/gate/http_server.h"
+
+// The C library's header names standard types of <sys/socket.h>.
+#include <ulfius.h>
+
+#include <array>
+#include <atomic>
+#include <exception>
+#include <utility>
+
+#include "tarragondrift/gate/address.h"
+
+namespace tarragondrift {
+namespace {
+
+/// Gives a text of C as a view, empty for a null pointer.
+std::string_view View(const char* text) {
+  return text == nullptr ? std::string_view{} : std::string_view{text};
+}
+
+class ulfius_server : public http_server {
+ public:
+  ulfius_server(const http_server_options& options, server_handler handler)
+      : options_(options), handler_(std::move(handler)) {}
+  ulfius_server(const ulfius_server&) = delete;
+  ulfius_server& operator=(const ulfius_server&) = delete;
+
+  ~ulfius_server() override {
+    if (initialised_) {
+      ulfius_stop_framework(&instance_);
+      ulfius_clean_instance(&instance_);
+    }
+  }
+
+  /// Binds the address and starts the threads.
+  result<void> Listen() {
+    const result<sockaddr_in> address = ParseAddress(options_.address);
+    if (!address) {
+      return address.error();
+    }
+    address_ = address.value();
+    if (ulfius_init_instance(&instance_, ntohs(address_.sin_port), &address_,
+                             nullptr) != U_OK) {
+      return result_code::kInternal;
+    }
+    initialised_ = true;
+    // One byte more than allowed is read, to tell "too large" from "just fits".
+    instance_.max_post_body_size = options_.most_body_bytes + 1;
+    instance_.allowed_post_processor = U_POST_PROCESS_NONE;
+    ulfius_add_endpoint_by_val(&instance_, "*", nullptr, "*", 0, &Serve, this);
+    return StartDaemon();
+  }
+
+  void StopAccepting() override {
+    const int listener = MHD_quiesce_daemon(instance_.mhd_daemon);
+    if (listener != MHD_INVALID_SOCKET) {
+      close(listener);
+    }
+  }
+
+  size_t ActiveRequests() const override {
+    return active_.load(std::memory_order_relaxed);
+  }
+
+ private:
+  /// Starts the daemon under ulfius with a bound on the connections, which the
+  /// plain start does not offer.
+  result<void> StartDaemon() {
+    constexpr unsigned int kListenBacklog = 1'024;
+    constexpr unsigned int kFlags = MHD_USE_THREAD_PER_CONNECTION |
+                                    MHD_USE_INTERNAL_POLLING_THREAD |
+                                    MHD_USE_POLL | MHD_USE_ITC;
+    std::array<MHD_OptionItem, 8> items{{
+        {MHD_OPTION_NOTIFY_COMPLETED,
+         reinterpret_cast<intptr_t>(&mhd_request_completed),  // NOLINT: C API
+         nullptr},
+        {MHD_OPTION_URI_LOG_CALLBACK,
+         reinterpret_cast<intptr_t>(&ulfius_uri_logger),  // NOLINT: C API
+         nullptr},
+        {MHD_OPTION_SOCK_ADDR, 0, &address_},
+        {MHD_OPTION_CONNECTION_LIMIT,
+         static_cast<intptr_t>(options_.most_connections), nullptr},
+        {MHD_OPTION_CONNECTION_TIMEOUT,
+         static_cast<intptr_t>(options_.idle_timeout.count()), nullptr},
+        {MHD_OPTION_LISTEN_BACKLOG_SIZE, kListenBacklog, nullptr},
+        {MHD_OPTION_LISTENING_ADDRESS_REUSE, 1, nullptr},
+        {MHD_OPTION_END, 0, nullptr},
+    }};
+    if (ulfius_start_framework_with_mhd_options(&instance_, kFlags,
+                                                items.data()) != U_OK) {
+      return result_code::kInternal;
+    }
+    return outcome::success();
+  }
+
+  static int Serve(const _u_request* request, _u_response* response,
+                   void* self) {
+    auto* const server = static_cast<ulfius_server*>(self);
+    server->active_.fetch_add(1, std::memory_order_relaxed);
+    server->Answer(*request, *response);
+    server->active_.fetch_sub(1, std::memory_order_relaxed);
+    return U_CALLBACK_COMPLETE;
+  }
+
+  void Answer(const _u_request& request, _u_response& response) {
+    server_response answer;
+    try {
+      answer = handler_(ToRequest(request));
+    } catch (const std::exception&) {
+      // The last line of defence: a defect costs one request, not the entry.
+      answer = {.status = 500, .body = R"({"code": 900, "name": "internal"})"};
+    }
+    ulfius_set_binary_body_response(&response, answer.status,
+                                    answer.body.data(), answer.body.size());
+    u_map_put(response.map_header, "Content-Type", answer.content_type.c_str());
+    if (answer.retry_after.count() > 0) {
+      const auto seconds =
+          std::chrono::ceil<std::chrono::seconds>(answer.retry_after);
+      u_map_put(response.map_header, "Retry-After",
+                std::to_string(seconds.count()).c_str());
+    }
+  }
+
+  static server_request ToRequest(const _u_request& request) {
+    return {.method = View(request.http_verb),
+            .path = View(request.url_path),
+            .body = {static_cast<const char*>(request.binary_body),
+                     request.binary_body_length},
+            .authorization =
+                View(u_map_get_case(request.map_header, "Authorization")),
+            .query = [&request](const char* name) {
+              return View(u_map_get(request.map_url, name));
+            }};
+  }
+
+  http_server_options options_;
+  server_handler handler_;
+  sockaddr_in address_{};
+  _u_instance instance_{};
+  bool initialised_ = false;
+  std::atomic<size_t> active_{0};
+};
+
+}  // namespace
+
+result<std::unique_ptr<http_server>> http_server::Start(
+    const http_server_options& options, server_handler handler) {
+  auto server = std::make_unique<ulfius_server>(options, std::move(handler));
+  const result<void> listening = server->Listen();
+  if (!listening) {
+    return listening.error();
+  }
+  return std::unique_ptr<http_server>(std::move(server));
+}
+
+}  // namespace tarragondrift
--- /dev/null
+++ b/packages/gate/src/upstream_attempt.cc
@@ -0,0 +1,155 @@
+#include "upstream_attempt.h"
+
+#include <strings.h>
+
+#include <string_view>
+#include <utility>
+
+namespace tarragondrift {
+namespace {
+
+constexpr long kHttpOk = 200;       // NOLINT: libcurl's type
+constexpr long kHttpRefused = 503;  // NOLINT: libcurl's type
+
+/// Runs when a connection is there and before any byte of the request goes to
+/// it. libcurl sends a POST again by itself when a kept connection dies without
+/// an answer; that second time is stopped here, since the first may have
+/// arrived.
+int OnBeforeRequest(void* data, char* /*remote_ip*/, char* /*local_ip*/,
+                    int /*remote_port*/, int /*local_port*/) {
+  auto* const attempt = static_cast<upstream_attempt*>(data);
+  if (attempt->handed_over) {
+    return CURL_PREREQFUNC_ABORT;
+  }
+  attempt->handed_over = true;
+  attempt->handed_over_at = std::chrono::steady_clock::now();
+  return CURL_PREREQFUNC_OK;
+}
+
+/// Collects the answer's body up to its limit.
+size_t OnBody(char* bytes, size_t size, size_t count, void* data) {
+  auto* const attempt = static_cast<upstream_attempt*>(data);
+  const size_t length = size * count;
+  if (attempt->answer.size() + length > attempt->most_answer_bytes) {
+    return 0;
+  }
+  attempt->answer.append(bytes, length);
+  return length;
+}
+
+/// Tells whether a header line says that the connection will be closed.
+bool SaysClose(std::string_view line) {
+  constexpr std::string_view kName = "connection:";
+  return line.size() > kName.size() &&
+         strncasecmp(line.data(), kName.data(), kName.size()) == 0 &&
+         line.find("close") != std::string_view::npos;
+}
+
+/// Watches the answer's headers.
+size_t OnHeader(char* bytes, size_t size, size_t count, void* data) {
+  const std::string_view line(bytes, size * count);
+  if (SaysClose(line)) {
+    static_cast<upstream_attempt*>(data)->closing = true;
+  }
+  return line.size();
+}
+
+/// Adds one header line.
+void AddHeader(slist_ptr& headers, const std::string& line) {
+  curl_slist* const longer = curl_slist_append(headers.get(), line.c_str());
+  if (longer != nullptr) {
+    headers.release();  // NOLINT: the list's head stays, or was null
+    headers.reset(longer);
+  }
+}
+
+/// Percent-encodes a task's name, which may hold any characters.
+std::string Escape(CURL* easy, const std::string& text) {
+  char* const escaped =
+      curl_easy_escape(easy, text.data(), static_cast<int>(text.size()));
+  std::string copy(escaped);
+  curl_free(escaped);
+  return copy;
+}
+
+slist_ptr MakeHeaders(const upstream_attempt& attempt) {
+  const start_task& start = attempt.start;
+  slist_ptr headers;
+  AddHeader(headers, "Idempotency-Key: " + FormatSubmissionId(start.id) + "/" +
+                         std::to_string(start.placed.task.task.number));
+  AddHeader(headers,
+            "X-Task-Name: " + Escape(attempt.easy.get(), start.task_name));
+  AddHeader(headers, "X-Attempt: " + std::to_string(start.attempt));
+  AddHeader(headers, "Content-Type: text/plain");
+  // An upstream that waits for "100 Continue" would cost a round trip.
+  AddHeader(headers, "Expect:");
+  return headers;
+}
+
+}  // namespace
+
+void PrepareAttempt(upstream_attempt& attempt,
+                    const upstream_client_options& options) {
+  CURL* const easy = attempt.easy.get();
+  attempt.headers = MakeHeaders(attempt);
+  attempt.most_answer_bytes = options.most_answer_bytes;
+  const std::string url = "http://" + attempt.start.address + "/run";
+  curl_easy_setopt(easy, CURLOPT_URL, url.c_str());
+  curl_easy_setopt(easy, CURLOPT_PRIVATE, &attempt);
+  curl_easy_setopt(easy, CURLOPT_NOSIGNAL, 1L);
+  curl_easy_setopt(easy, CURLOPT_PROXY, "");
+  curl_easy_setopt(easy, CURLOPT_PROTOCOLS_STR, "http");
+  curl_easy_setopt(easy, CURLOPT_HTTP_VERSION, CURL_HTTP_VERSION_1_1);
+  curl_easy_setopt(easy, CURLOPT_HTTPHEADER, attempt.headers.get());
+  curl_easy_setopt(easy, CURLOPT_POST, 1L);
+  curl_easy_setopt(easy, CURLOPT_POSTFIELDS, attempt.start.payload.data());
+  curl_easy_setopt(easy, CURLOPT_POSTFIELDSIZE_LARGE,
+                   static_cast<curl_off_t>(attempt.start.payload.size()));
+  curl_easy_setopt(easy, CURLOPT_WRITEFUNCTION, &OnBody);
+  curl_easy_setopt(easy, CURLOPT_WRITEDATA, &attempt);
+  curl_easy_setopt(easy, CURLOPT_HEADERFUNCTION, &OnHeader);
+  curl_easy_setopt(easy, CURLOPT_HEADERDATA, &attempt);
+  curl_easy_setopt(easy, CURLOPT_PREREQFUNCTION, &OnBeforeRequest);
+  curl_easy_setopt(easy, CURLOPT_PREREQDATA, &attempt);
+  curl_easy_setopt(easy, CURLOPT_CONNECTTIMEOUT_MS,
+                   static_cast<long>(  // NOLINT: libcurl's type
+                       options.connect_timeout.count()));
+  curl_easy_setopt(easy, CURLOPT_TIMEOUT_MS,
+                   static_cast<long>(  // NOLINT: libcurl's type
+                       attempt.start.timeout.count()));
+  curl_easy_setopt(easy, CURLOPT_MAXAGE_CONN,
+                   static_cast<long>(  // NOLINT: libcurl's type
+                       options.longest_idle.count()));
+}
+
+attempt_result JudgeAttempt(upstream_attempt& attempt, CURLcode code) {
+  attempt_result ended;
+  if (!attempt.handed_over) {
+    ended.outcome = attempt_outcome::kRefused;
+    return ended;
+  }
+  ended.service_time = std::chrono::duration_cast<std::chrono::microseconds>(
+      std::chrono::steady_clock::now() - attempt.handed_over_at);
+  if (code == CURLE_WRITE_ERROR) {
+    // The answer is there and is too long to carry.
+    ended.outcome = attempt_outcome::kFailed;
+    return ended;
+  }
+  if (code != CURLE_OK) {
+    ended.outcome = attempt_outcome::kUnknown;
+    return ended;
+  }
+  long status = 0;  // NOLINT: libcurl's type
+  curl_easy_getinfo(attempt.easy.get(), CURLINFO_RESPONSE_CODE, &status);
+  ended.leaving = status == kHttpRefused && attempt.closing;
+  if (status == kHttpOk) {
+    ended.outcome = attempt_outcome::kSucceeded;
+    ended.body = std::move(attempt.answer);
+  } else {
+    ended.outcome = status == kHttpRefused ? attempt_outcome::kRefused
+                                           : attempt_outcome::kFailed;
+  }
+  return ended;
+}
+
+}  // namespace tarragondrift
