--- a/packages/daemon/src/operators_api.cc
+++ b/packages/daemon/src/operators_api.cc
@@ -4,6 +4,7 @@
 
 #include "config_api.h"
 #include "tarragondrift/gate/callers_api.h"
+#include "tarragondrift/gate/secret.h"
 
 namespace tarragondrift {
 namespace {
@@ -13,18 +14,6 @@
 constexpr uint16_t kHttpUnavailable = 503;
 constexpr std::string_view kConfigPrefix = "/v1/config/";
 
-/// Compares in a time that does not depend on where the texts differ.
-bool SameSecret(std::string_view left, std::string_view right) {
-  if (left.size() != right.size()) {
-    return false;
-  }
-  unsigned char differing = 0;
-  for (size_t at = 0; at < left.size(); ++at) {
-    differing |= static_cast<unsigned char>(left[at] ^ right[at]);
-  }
-  return differing == 0;
-}
-
 bool Authorized(const operators_context& context,
                 const server_request& request) {
   return context.token.empty() ||
--- /dev/null
+++ b/packages/gate/include/tarragondrift/gate/secret.h
@@ -0,0 +1,24 @@
+// Comparison of secrets.
+#ifndef TARRAGONDRIFT_GATE_SECRET_H_
+#define TARRAGONDRIFT_GATE_SECRET_H_
+
+#include <cstddef>
+#include <string_view>
+
+namespace tarragondrift {
+
+/// Compares in a time that does not depend on where the texts differ.
+inline bool SameSecret(std::string_view left, std::string_view right) {
+  if (left.size() != right.size()) {
+    return false;
+  }
+  unsigned char differing = 0;
+  for (size_t at = 0; at < left.size(); ++at) {
+    differing |= static_cast<unsigned char>(left[at] ^ right[at]);
+  }
+  return differing == 0;
+}
+
+}  // namespace tarragondrift
+
+#endif  // TARRAGONDRIFT_GATE_SECRET_H_
