Stand-ins never share a port; demos run side by side

Two demos at once shared the stand-in platform's port by SO_REUSEPORT and saw each other's entries. The port is exclusive now, each run has ports of its own and fails when one of its processes has ended.

--- a/packages/fakes/src/fake_http_server.cc
+++ b/packages/fakes/src/fake_http_server.cc
@@ -119,8 +119,7 @@
       MHD_OPTION_NOTIFY_COMPLETED, OnCompleted, nullptr,
       MHD_OPTION_CONNECTION_LIMIT, kMostConnections,
       MHD_OPTION_THREAD_STACK_SIZE, kThreadStackBytes,
-      MHD_OPTION_LISTEN_BACKLOG_SIZE, kListenBacklog,
-      MHD_OPTION_LISTENING_ADDRESS_REUSE, 1U, MHD_OPTION_END);
+      MHD_OPTION_LISTEN_BACKLOG_SIZE, kListenBacklog, MHD_OPTION_END);
   if (daemon_ == nullptr) {
     return false;
   }
--- a/packages/fakes/test/fake_platform_test.cc
+++ b/packages/fakes/test/fake_platform_test.cc
@@ -62,6 +62,15 @@
             .status == 400);
 }
 
+TEST_CASE_METHOD(admin_fixture, "a port in use is not shared") {
+  const std::string url = platform.AdminUrl();
+  const auto port =
+      static_cast<uint16_t>(std::stoi(url.substr(url.rfind(':') + 1)));
+  fake_platform second({.admin_port = port});
+  CHECK_FALSE(second.Start());
+  second.Stop();
+}
+
 TEST_CASE_METHOD(admin_fixture, "calls are counted") {
   ReadList();
   const auto stats = client.Send({.url = platform.AdminUrl() + "/stats"});
--- a/scripts/local_setup.sh
+++ b/scripts/local_setup.sh
@@ -3,9 +3,11 @@
 BIN=${BIN:-build}
 work=$(mktemp -d)
 declare -a stand_in_pids=() entry_pids=()
-platform_port=${PLATFORM_PORT:-18000}
-upstream_port=${UPSTREAM_PORT:-18100}
-entry_port=${ENTRY_PORT:-18200}
+# Runs side by side use blocks of ports of their own, below the range from
+# which the system takes ports for connections.
+platform_port=${BASE_PORT:-$((18000 + $$ % 70 * 200))}
+upstream_port=$((platform_port + 10))
+entry_port=$((platform_port + 100))
 upstream_admin=http://127.0.0.1:$((upstream_port - 1))
 tool=$BIN/packages/tool/tarragondrift
 
@@ -20,6 +22,18 @@
   return 1
 }
 
+# Fails unless every process that was started here still runs: a port that is
+# taken ends a process, and another one's answer must not pass for its own.
+check_running() {
+  local pid
+  for pid in "${stand_in_pids[@]}" "${entry_pids[@]}"; do
+    if ! kill -0 "$pid" 2>/dev/null; then
+      echo "event=process_ended pid=$pid" >&2
+      return 1
+    fi
+  done
+}
+
 # start_stand_ins DATA_CENTRES INSTANCES_EACH SLOTS: the platform, and upstream
 # instances that are listed in their data centres.
 start_stand_ins() {
@@ -44,6 +58,7 @@
   stand_in_pids+=($!)
   wait_for "http://127.0.0.1:$((platform_port + 3))/stats" 10
   wait_for "$upstream_admin/stats" 10
+  check_running
 }
 
 callers_of() { echo "http://127.0.0.1:$((entry_port + 10 * $1))"; }
@@ -63,6 +78,7 @@
     --log "$work/entry$number.log" "$@" >"$work/entry$number.out" 2>&1 &
   entry_pids+=($!)
   wait_for "http://127.0.0.1:$((port + 1))/healthz" 10
+  check_running
 }
 
 # promote FILE OPERATORS: tries a document, then promotes it unchanged.
