Entries forward submissions, beat, hand answers over and write records

Cause: a resubmission at another entry was answered owner_unreachable, and the core's new actions (fences, key intervals, one handover at a time) had no carrier. Forwards, waits and cancellations now go to the owner or its successor, heartbeats feed membership, records of starts are grouped within the shared budget, and a stopping entry names its successor in its row.

--- a/packages/daemon/src/engine.cc
+++ b/packages/daemon/src/engine.cc
@@ -39,7 +39,9 @@
 }  // namespace
 
 engine::engine(const engine_options& options)
-    : options_(options), state_(MakeEntry(options.entry)) {}
+    : options_(options),
+      state_(MakeEntry(options.entry)),
+      members_(MakeMembership(options.members)) {}
 
 engine::~engine() { Stop(); }
 
@@ -120,6 +122,11 @@
     ReplyExpired();
     TestDrained();
   }
+  // What is still held was forwarded, or its owner was stopped by force.
+  while (!held_.empty()) {
+    const auto& [waiter, held] = *held_.begin();
+    Refuse(waiter_id{waiter}, held.id, result_code::kOwnerUnreachable);
+  }
 }
 
 instant engine::NextWake() const {
@@ -135,6 +142,9 @@
   }
   next_tick_ = now_ + options_.tick_interval;
   TickEntry(state_, now_, actions_);
+  TickPeers();
+  TickKeys();
+  RetryHandover();
   DoAll();
 }
 
@@ -142,7 +152,14 @@
   if (drained_ == nullptr || state_.jobs.size() > 0 || !held_.empty()) {
     return;
   }
-  std::exchange(drained_, nullptr)();
+  // Without any other entry there is nobody to hand answers to.
+  const bool alone = handover_.has_value() && !SuccessorAddress().has_value();
+  if (state_.stage != entry_stage::kDrained && !alone) {
+    return;
+  }
+  const incarnation successor = state_.handover.successor;
+  std::exchange(drained_, nullptr)(
+      successor.value == 0 ? std::nullopt : std::optional(successor));
 }
 
 // Held requests.
@@ -191,7 +208,8 @@
 }
 
 void engine::ReplyStatus(waiter_id waiter) {
-  const submission_id id = held_.at(waiter.value).id;
+  // The key of a submission may have turned out to be another's.
+  const submission_id id = ResolveSubmission(state_, held_.at(waiter.value).id);
   DropWaiter(state_, id, waiter);
   const result<job_progress> progress = DescribeJob(state_, id);
   if (!progress) {
@@ -211,8 +229,9 @@
     AttachUnresolved(event, waiter);
     return;
   }
+  const auto submit = event.hold.may_forward ? SubmitJob : SubmitForwarded;
   const result<submission_id> known =
-      SubmitJob(state_, std::move(event.request), waiter, now_, actions_);
+      submit(state_, std::move(event.request), waiter, now_, actions_);
   const auto held = held_.find(waiter.value);
   if (known && held != held_.end()) {
     held->second.id = known.value();
@@ -262,21 +281,34 @@
     return;
   }
   held.forwarded = true;
-  const auto wait = std::chrono::duration_cast<std::chrono::milliseconds>(
-      held.expires - now_);
+  const std::string address = OwnerAddress(id.owner);
   if (held.content != nullptr) {
-    outside_->Forward(forward_submit{
-        .waiter = waiter, .id = id, .content = held.content, .wait = wait});
+    const forward_submission sent{
+        .waiter = waiter,
+        .owner = id.owner,
+        .request = std::make_shared<const job_request>(HeadOf(*held.content))};
+    outside_->Forward(forward_submit{.sent = sent,
+                                     .address = address,
+                                     .content = held.content,
+                                     .wait = WaitLeft(held)});
     return;
   }
-  outside_->Forward(forward_await{.waiter = waiter, .id = id, .wait = wait});
+  outside_->Forward(forward_await{
+      .waiter = waiter, .id = id, .address = address, .wait = WaitLeft(held)});
+}
+
+std::chrono::milliseconds engine::WaitLeft(const held_request& held) const {
+  const auto left = std::chrono::duration_cast<std::chrono::milliseconds>(
+      held.expires - now_);
+  return std::max(left, std::chrono::milliseconds{0});
 }
 
 void engine::Handle(cancel_event& event) {
   const result<void> cancelled = CancelJob(state_, event.id, now_, actions_);
   const bool foreign = event.id.owner != options_.entry.self;
   if (!cancelled && foreign && event.may_forward) {
-    outside_->ForwardCancel(event.id, std::move(event.done));
+    outside_->ForwardCancel(event.id, OwnerAddress(event.id.owner),
+                            std::move(event.done));
     return;
   }
   event.done(cancelled);
@@ -299,9 +331,35 @@
 }
 
 void engine::Handle(forward_ended_event& event) {
+  const waiter_id waiter = event.sent.waiter;
+  if (!held_.contains(waiter.value)) {
+    return;
+  }
+  // An entry that has neither the submission nor its answer says so; it
+  // answers in the place of an owner that has ended.
+  const bool gone = event.reply.has_value() && event.reply->answer != nullptr &&
+                    event.reply->answer->code == result_code::kOwnerGone;
+  if (event.reply.has_value() && !gone) {
+    Reply(waiter, std::move(*event.reply));
+    return;
+  }
+  EndForward(state_, event.sent,
+             gone ? forward_outcome::kOwnerGone : event.outcome, now_,
+             actions_);
+}
+
+void engine::Handle(await_ended_event& event) {
   Reply(event.waiter, std::move(event.reply));
 }
 
+void engine::Handle(fence_ended_event& event) {
+  EndIntentFence(state_, event.asked, event.outcome, actions_);
+}
+
+void engine::Handle(interval_ended_event& event) {
+  EndIntervalClaim(state_, event.interval, event.outcome, event.holder);
+}
+
 void engine::Handle(config_event& event) {
   if (ApplyEntryConfig(state_, event.document)) {
     config_.store(state_.config);
@@ -325,10 +383,6 @@
   }
 }
 
-void engine::Handle(handover_event& event) {
-  AcceptHandover(state_, event.handed);
-}
-
 void engine::Handle(drain_event& event) {
   drained_ = std::move(event.drained);
   BeginDrain(state_, now_, actions_);
@@ -343,8 +397,9 @@
                        .jobs = state_.jobs.size(),
                        .queued_tasks = QueuedTasks(state_.dispatch),
                        .running_attempts = state_.running.size(),
-                       .kept_answers = state_.kept.size(),
-                       .held_requests = held_.size()};
+                       .kept_answers = state_.kept.answers.size(),
+                       .held_requests = held_.size(),
+                       .beats_sent = members_.sent};
   if (state_.config != nullptr) {
     status.config_version = state_.config->version;
     status.config_digest = state_.config->digest;
@@ -387,18 +442,18 @@
   }
   held->second.id = id;
   held->second.forwarded = true;
-  const auto wait = std::chrono::duration_cast<std::chrono::milliseconds>(
-      held->second.expires - now_);
-  outside_->Forward(forward_submit{.waiter = wanted.waiter,
-                                   .id = id,
+  outside_->Forward(forward_submit{.sent = wanted,
+                                   .address = OwnerAddress(wanted.owner),
                                    .content = held->second.content,
-                                   .wait = wait});
+                                   .wait = WaitLeft(held->second)});
 }
 
 void engine::Do(claim_key& wanted) { outside_->Claim(std::move(wanted)); }
 
 void engine::Do(record_intent& wanted) { outside_->Record(wanted); }
 
-void engine::Do(hand_over& wanted) { outside_->HandOver(std::move(wanted)); }
+void engine::Do(fence_intent& wanted) { outside_->Fence(wanted); }
+
+void engine::Do(claim_interval& wanted) { outside_->ClaimInterval(wanted); }
 
 }  // namespace tarragondrift
--- a/packages/daemon/src/engine.h
+++ b/packages/daemon/src/engine.h
@@ -6,6 +6,8 @@
 #include <atomic>
 #include <map>
 #include <memory>
+#include <optional>
+#include <string>
 #include <thread>
 #include <unordered_map>
 
@@ -13,12 +15,14 @@
 #include "mailbox.h"
 #include "outside_port.h"
 #include "tarragondrift/core/entry_cmd.h"
+#include "tarragondrift/core/membership_cmd.h"
 
 namespace tarragondrift {
 
 /// Options of an engine.
 struct engine_options {
   entry_options entry;
+  membership_options members;
   /// Between two steps of the core's clock.
   std::chrono::milliseconds tick_interval{10};
 };
@@ -76,6 +80,12 @@
   void Handle(claim_ended_event& event);
   void Handle(record_ended_event& event);
   void Handle(forward_ended_event& event);
+  void Handle(await_ended_event& event);
+  void Handle(fence_ended_event& event);
+  void Handle(interval_ended_event& event);
+  void Handle(handover_ended_event& event);
+  void Handle(beat_event& event);
+  void Handle(learn_peer_event& event);
   void Handle(config_event& event);
   void Handle(instances_event& event);
   void Handle(handover_event& event);
@@ -89,6 +99,8 @@
   void Do(claim_key& wanted);
   void Do(record_intent& wanted);
   void Do(hand_over& wanted);
+  void Do(fence_intent& wanted);
+  void Do(claim_interval& wanted);
   void DoAll();
 
   waiter_id Hold(const submission_id& id, const hold_options& hold,
@@ -100,7 +112,14 @@
   void ReplyExpired();
   void ReplyStatus(waiter_id waiter);
   void Tick();
+  void TickPeers();
+  void TickKeys();
+  void RetryHandover();
   void TestDrained();
+  heartbeat DescribeSelf() const;
+  std::string OwnerAddress(incarnation owner) const;
+  std::optional<std::string> SuccessorAddress() const;
+  std::chrono::milliseconds WaitLeft(const held_request& held) const;
   instant NextWake() const;
 
   engine_options options_;
@@ -117,7 +136,12 @@
   uint64_t next_waiter_ = 1;
   std::unordered_map<uint64_t, held_request> held_;
   std::multimap<instant, uint64_t> expiries_;
-  std::function<void()> drained_;
+  membership members_;
+  instant next_key_claim_;
+  /// Kept answers that no successor has taken yet.
+  std::optional<hand_over> handover_;
+  instant next_handover_;
+  drained_callback drained_;
 };
 
 }  // namespace tarragondrift
--- a/packages/daemon/src/engine_events.h
+++ b/packages/daemon/src/engine_events.h
@@ -4,12 +4,15 @@
 
 #include <functional>
 #include <memory>
+#include <optional>
 #include <string>
 #include <variant>
 #include <vector>
 
 #include "tarragondrift/core/entry_cmd.h"
+#include "tarragondrift/core/membership_cmd.h"
 #include "tarragondrift/gate/submission_port.h"
+#include "tarragondrift/link/peer_messages.h"
 
 namespace tarragondrift {
 
@@ -62,12 +65,52 @@
   store_outcome outcome = store_outcome::kUnavailable;
 };
 
-/// Another entry answered a forwarded request, or did not.
+/// Another entry answered a forwarded submission, or did not.
 struct forward_ended_event {
+  forward_submission sent;
+  /// Nothing when there was no answer.
+  std::optional<submission_reply> reply;
+  /// Without an answer: what is known of the owner.
+  forward_outcome outcome = forward_outcome::kUnreachable;
+};
+
+/// Another entry answered a forwarded wait, or the code says why not.
+struct await_ended_event {
   waiter_id waiter;
   submission_reply reply;
 };
 
+/// The table service answered a fence.
+struct fence_ended_event {
+  fence_intent asked;
+  fence_outcome outcome = fence_outcome::kUnknown;
+};
+
+/// The table service answered the claim of a key interval.
+struct interval_ended_event {
+  key_interval interval;
+  store_outcome outcome = store_outcome::kUnavailable;
+  incarnation holder;
+};
+
+/// A successor took kept answers, or did not.
+struct handover_ended_event {
+  handover_result ended;
+};
+
+/// Another entry beats.
+struct beat_event {
+  heartbeat beat;
+  std::function<void(beat_reply)> done;
+};
+
+/// The platform's rows name another entry.
+struct learn_peer_event {
+  incarnation who;
+  uint16_t data_centre = 0;
+  std::string address;
+};
+
 /// A configuration was found to be in force.
 struct config_event {
   std::shared_ptr<const config_document> document;
@@ -82,11 +125,16 @@
 /// An entry that stops hands over the answers that it kept.
 struct handover_event {
   hand_over handed;
+  /// Gets whether they were taken.
+  std::function<void(bool)> done;
 };
 
+/// Takes who has the kept answers, if anybody has.
+using drained_callback = std::function<void(std::optional<incarnation>)>;
+
 /// This entry is to stop; `drained` runs once nothing is left.
 struct drain_event {
-  std::function<void()> drained;
+  drained_callback drained;
 };
 
 /// This entry is to stop now.
@@ -102,6 +150,7 @@
   size_t running_attempts = 0;
   size_t kept_answers = 0;
   size_t held_requests = 0;
+  traffic_count beats_sent;
   std::vector<upstream_instance> instances;
 };
 
@@ -113,7 +162,9 @@
 using engine_event =
     std::variant<submit_event, await_event, cancel_event, mint_event,
                  attempt_ended_event, claim_ended_event, record_ended_event,
-                 forward_ended_event, config_event, instances_event,
+                 forward_ended_event, await_ended_event, fence_ended_event,
+                 interval_ended_event, handover_ended_event, beat_event,
+                 learn_peer_event, config_event, instances_event,
                  handover_event, drain_event, force_drain_event, status_event>;
 
 }  // namespace tarragondrift
--- a/packages/daemon/src/entry_registry.cc
+++ b/packages/daemon/src/entry_registry.cc
@@ -1,36 +1,18 @@
 #include "entry_registry.h"
 
 #include <algorithm>
-#include <array>
-#include <charconv>
 #include <nlohmann/json.hpp>
 
+#include "store_rows.h"
+
 namespace tarragondrift {
 namespace {
 
 using nlohmann::json;
 
-constexpr int kHex = 16;
 /// Successors followed before a cycle is assumed.
 constexpr int kMostSuccessors = 64;
 
-std::string FormatIncarnation(incarnation who) {
-  std::array<char, sizeof(who.value) * 2> digits{};
-  const auto written = std::to_chars(
-      digits.data(), digits.data() + digits.size(), who.value, kHex);
-  return {digits.data(), written.ptr};
-}
-
-std::optional<incarnation> ParseIncarnation(const std::string& text) {
-  incarnation who;
-  const char* const end = text.data() + text.size();
-  const auto read = std::from_chars(text.data(), end, who.value, kHex);
-  if (read.ec != std::errc{} || read.ptr != end) {
-    return std::nullopt;
-  }
-  return who;
-}
-
 std::string RowPrefix(const std::string& environment) {
   return "entry/" + environment + "/";
 }
--- a/packages/daemon/src/main.cc
+++ b/packages/daemon/src/main.cc
@@ -9,6 +9,7 @@
 #include <csignal>
 #include <cstdlib>
 #include <iostream>
+#include <optional>
 #include <string>
 #include <vector>
 
@@ -23,9 +24,15 @@
 constexpr const char* kVersion = "0.1.0";
 constexpr int kExitUsage = 2;
 constexpr int kExitFailure = 1;
+/// Time for a forced stop to answer all that is held.
+constexpr std::chrono::milliseconds kForceLimit{2'000};
 
 /// What wakes the main thread.
-enum class wake_reason : uint8_t { kSignal, kDrained };
+struct wake {
+  /// A signal came; otherwise the entry has drained.
+  bool signal = false;
+  std::optional<incarnation> successor;
+};
 
 /// Blocks the signals that ask for a stop in all threads started later.
 sigset_t BlockStopSignals() {
@@ -38,35 +45,37 @@
 }
 
 /// Waits for a signal on a thread of its own, for as long as the process lives.
-void WatchSignals(const sigset_t& signals, mailbox<wake_reason>& wakes) {
+void WatchSignals(const sigset_t& signals, mailbox<wake>& wakes) {
   std::thread([signals, &wakes] {
     int number = 0;
     while (sigwait(&signals, &number) == 0) {
-      wakes.Push(wake_reason::kSignal);
+      wakes.Push({.signal = true});
     }
   }).detach();
 }
 
 /// Stops gracefully: until nothing is left, a second signal, or the limit.
-void Stop(process& entry, mailbox<wake_reason>& wakes,
+void Stop(process& entry, mailbox<wake>& wakes,
           std::chrono::milliseconds limit) {
   log_event(log_level::kInfo, "draining");
-  entry.BeginDrain([&wakes] { wakes.Push(wake_reason::kDrained); });
+  entry.BeginDrain([&wakes](std::optional<incarnation> successor) {
+    wakes.Push({.successor = successor});
+  });
   const auto deadline = std::chrono::steady_clock::now() + limit;
-  const std::vector<wake_reason> woken = wakes.TakeUntil(deadline);
-  if (woken.empty() || woken.front() != wake_reason::kDrained) {
+  std::vector<wake> woken = wakes.TakeUntil(deadline);
+  if (woken.empty() || woken.front().signal) {
     log_event(log_level::kWarning, "drain_forced")
         .With("cause", woken.empty() ? "timeout" : "signal");
     entry.ForceDrain();
-    wakes.TakeUntil(std::chrono::steady_clock::now() + std::chrono::seconds(2));
+    woken = wakes.TakeUntil(std::chrono::steady_clock::now() + kForceLimit);
   }
-  entry.Deregister();
+  entry.Finish(woken.empty() ? std::nullopt : woken.front().successor);
 }
 
 int Serve(const settings& options) {
   const sigset_t signals = BlockStopSignals();
   // It outlives the watching thread, which ends with the process.
-  static mailbox<wake_reason> wakes;
+  static mailbox<wake> wakes;
   WatchSignals(signals, wakes);
   process entry(options);
   if (!entry.Start()) {
--- a/packages/daemon/src/outside.cc
+++ b/packages/daemon/src/outside.cc
@@ -4,11 +4,12 @@
 
 namespace tarragondrift {
 
-outside::outside(const settings& options, engine& target, table_port& table,
-                 metrics& counts)
+outside::outside(const settings& options, incarnation self, engine& target,
+                 table_port& table, metrics& counts, directory_source entries)
     : engine_(target),
       counts_(counts),
-      store_(table,
+      entries_(std::move(entries)),
+      store_(table, self,
              [this](engine_event event) { engine_.Post(std::move(event)); }),
       upstreams_(upstream_client::Start(
           {.threads = options.upstream_threads},
@@ -16,7 +17,8 @@
             counts_.CountEnd(ended);
             engine_.Post(attempt_ended_event{.placed = placed,
                                              .ended = std::move(ended)});
-          })) {}
+          })),
+      peers_(peer_client::Make({.token = options.peer_token})) {}
 
 void outside::Start(start_task start) {
   counts_.CountStart();
@@ -33,23 +35,102 @@
   store_.Record(record);
 }
 
+void outside::Fence(fence_intent asked) {
+  counts_.messages().platform.fetch_add(1);
+  store_.Fence(asked);
+}
+
+void outside::ClaimInterval(claim_interval claim) {
+  counts_.messages().platform.fetch_add(1);
+  store_.Claim(claim);
+}
+
+outside::owner_place outside::FindPlace(incarnation owner,
+                                        const std::string& heard) const {
+  const std::shared_ptr<const entry_directory> entries = entries_();
+  const std::optional<entry_row> row = FindOwner(*entries, owner);
+  if (!row.has_value()) {
+    // Rows lag behind: an entry that is not there may be a new one.
+    return {.address = heard};
+  }
+  if (row->stopped) {
+    return {.outcome = forward_outcome::kOwnerGone};
+  }
+  return {.address =
+              row->who == owner && !heard.empty() ? heard : row->address};
+}
+
 void outside::Forward(forward_submit call) {
-  engine_.Post(forward_ended_event{
-      .waiter = call.waiter,
-      .reply = MakeCodeReply(call.id, result_code::kOwnerUnreachable)});
+  const owner_place place = FindPlace(call.sent.owner, call.address);
+  if (place.address.empty()) {
+    engine_.Post(
+        forward_ended_event{.sent = call.sent, .outcome = place.outcome});
+    return;
+  }
+  counts_.messages().peers.fetch_add(1);
+  peers_->Submit(place.address, call.sent.request->id, *call.content, call.wait,
+                 [this, sent = call.sent](result<submission_reply> reply) {
+                   forward_ended_event event{.sent = sent};
+                   if (reply) {
+                     event.reply = std::move(reply).value();
+                   }
+                   engine_.Post(std::move(event));
+                 });
 }
 
 void outside::Forward(forward_await call) {
-  engine_.Post(forward_ended_event{
-      .waiter = call.waiter,
-      .reply = MakeCodeReply(call.id, result_code::kOwnerUnreachable)});
+  const auto end = [this, call](submission_reply reply) {
+    engine_.Post(
+        await_ended_event{.waiter = call.waiter, .reply = std::move(reply)});
+  };
+  const owner_place place = FindPlace(call.id.owner, call.address);
+  if (place.address.empty()) {
+    const bool gone = place.outcome == forward_outcome::kOwnerGone;
+    end(MakeCodeReply(call.id, gone ? result_code::kOwnerGone
+                                    : result_code::kOwnerUnreachable));
+    return;
+  }
+  counts_.messages().peers.fetch_add(1);
+  peers_->Await(
+      place.address, call.id, call.wait,
+      [end, call](result<submission_reply> reply) {
+        end(reply ? std::move(reply).value()
+                  : MakeCodeReply(call.id, result_code::kOwnerUnreachable));
+      });
 }
 
-void outside::ForwardCancel(const submission_id& /*id*/, cancel_callback done) {
-  done(result_code::kOwnerUnreachable);
+void outside::ForwardCancel(const submission_id& id, const std::string& address,
+                            cancel_callback done) {
+  const owner_place place = FindPlace(id.owner, address);
+  if (place.address.empty()) {
+    const bool gone = place.outcome == forward_outcome::kOwnerGone;
+    done(gone ? result_code::kOwnerGone : result_code::kOwnerUnreachable);
+    return;
+  }
+  counts_.messages().peers.fetch_add(1);
+  peers_->Cancel(
+      place.address, id, [done = std::move(done)](const result<void>& ended) {
+        const bool lost =
+            !ended && ended.error() == result_code::kPeerUnreachable;
+        done(lost ? result<void>(result_code::kOwnerUnreachable) : ended);
+      });
 }
 
-void outside::HandOver(hand_over /*handed*/) {}
+void outside::HandOver(hand_over handed, const std::string& address) {
+  counts_.messages().peers.fetch_add(1);
+  peers_->HandOver(address, handed, [this](result<incarnation> successor) {
+    // An entry that stops itself takes nothing and names nobody.
+    const bool accepted = successor && successor.value().value != 0;
+    engine_.Post(handover_ended_event{
+        .ended = {.accepted = accepted,
+                  .successor = accepted ? successor.value() : incarnation{}}});
+  });
+}
+
+void outside::Beat(beat_target target) {
+  counts_.messages().peers.fetch_add(1);
+  peers_->Beat(target.address, target.message, [](result<beat_reply>) {});
+}
 
 void outside::Answered(const job_answer& answer) {
   counts_.CountAnswer(answer);
--- a/packages/daemon/src/outside_port.h
+++ b/packages/daemon/src/outside_port.h
@@ -4,16 +4,19 @@
 #define TARRAGONDRIFT_DAEMON_OUTSIDE_PORT_H_
 
 #include <memory>
+#include <string>
 
 #include "tarragondrift/core/entry_base.h"
+#include "tarragondrift/core/membership_base.h"
 #include "tarragondrift/gate/submission_port.h"
 
 namespace tarragondrift {
 
 /// A submission on its way to the entry that owns it.
 struct forward_submit {
-  waiter_id waiter;
-  submission_id id;
+  forward_submission sent;
+  /// Where the owner was last heard; empty when it is not known.
+  std::string address;
   std::shared_ptr<const job_content> content;
   std::chrono::milliseconds wait{0};
 };
@@ -22,6 +25,7 @@
 struct forward_await {
   waiter_id waiter;
   submission_id id;
+  std::string address;
   std::chrono::milliseconds wait{0};
 };
 
@@ -35,8 +39,13 @@
   virtual void Record(record_intent record) = 0;
   virtual void Forward(forward_submit call) = 0;
   virtual void Forward(forward_await call) = 0;
-  virtual void ForwardCancel(const submission_id& id, cancel_callback done) = 0;
-  virtual void HandOver(hand_over handed) = 0;
+  virtual void ForwardCancel(const submission_id& id,
+                             const std::string& address,
+                             cancel_callback done) = 0;
+  virtual void Fence(fence_intent asked) = 0;
+  virtual void ClaimInterval(claim_interval claim) = 0;
+  virtual void HandOver(hand_over handed, const std::string& address) = 0;
+  virtual void Beat(beat_target target) = 0;
   /// Told of every answer that is delivered here.
   virtual void Answered(const job_answer& answer) = 0;
 };
--- /dev/null
+++ b/packages/daemon/src/peer_calls.cc
@@ -0,0 +1,30 @@
+#include "peer_calls.h"
+
+namespace tarragondrift {
+
+void peer_calls::OnBeat(heartbeat beat, std::function<void(beat_reply)> done) {
+  engine_.Post(beat_event{.beat = std::move(beat), .done = std::move(done)});
+}
+
+void peer_calls::OnHandOver(hand_over handed,
+                            std::function<void(incarnation)> done) {
+  engine_.Post(handover_event{
+      .handed = std::move(handed),
+      .done = [self = self_, done = std::move(done)](bool taken) {
+        done(taken ? self : incarnation{});
+      }});
+}
+
+config_text peer_calls::OnFetchConfig(uint64_t /*version*/) {
+  return config_();
+}
+
+void peer_calls::OnLendSlots(loan_request request,
+                             std::function<void(loan_grant)> done) {
+  // Slots are divided evenly and not lent; the empty grant says so.
+  done({.from = self_, .number = request.number});
+}
+
+void peer_calls::OnReturnSlots(loan_return /*message*/) {}
+
+}  // namespace tarragondrift
--- a/packages/daemon/src/platform_poller.cc
+++ b/packages/daemon/src/platform_poller.cc
@@ -5,7 +5,7 @@
 #include "clock.h"
 #include "config_positions.h"
 #include "logging.h"
-#include "tarragondrift/config/config_store.h"
+#include "tarragondrift/config/document_text.h"
 
 namespace tarragondrift {
 
@@ -58,22 +58,53 @@
     return;
   }
   counts_.messages().platform.fetch_add(1);
-  result<config_document> loaded = LoadDocument(table_, head.value());
-  if (!loaded) {
+  const result<std::string> text = ReadDocument(table_, head.value().digest);
+  if (!text) {
     log_event(log_level::kError, "config_not_loaded")
         .With("version", static_cast<int64_t>(head.value().version))
-        .With("code", DescribeResultCode(loaded.error()).name);
+        .With("code", DescribeResultCode(text.error()).name);
     return;
   }
-  config_document document = std::move(loaded).value();
+  TakeConfig(head.value(), text.value());
+}
+
+void platform_poller::TakeConfig(const config_head& head,
+                                 const std::string& text) {
+  parsed_config parsed = ParseConfigDocument(text);
+  if (!parsed.Valid()) {
+    log_event(log_level::kError, "config_invalid")
+        .With("version", static_cast<int64_t>(head.version));
+    return;
+  }
+  parsed.document.version = head.version;
+  parsed.document.digest = head.digest;
   if (config_ != nullptr) {
-    document = KeepPositions(*config_, std::move(document));
+    parsed.document = KeepPositions(*config_, std::move(parsed.document));
+  }
+  config_ = std::make_shared<const config_document>(std::move(parsed.document));
+  {
+    const std::scoped_lock lock(mutex_);
+    text_ = {head.version, head.digest, text};
   }
-  config_ = std::make_shared<const config_document>(std::move(document));
   engine_.Post(config_event{config_});
   log_event(log_level::kInfo, "config_in_force")
-      .With("version", static_cast<int64_t>(config_->version))
-      .With("digest", config_->digest);
+      .With("version", static_cast<int64_t>(head.version))
+      .With("digest", head.digest);
+}
+
+config_text platform_poller::Config() const {
+  const std::scoped_lock lock(mutex_);
+  return text_;
+}
+
+void platform_poller::LearnPeers() {
+  for (const auto& [who, entry] : *Entries()) {
+    if (who != options_.self.who && entry.live) {
+      engine_.Post(learn_peer_event{.who = who,
+                                    .data_centre = entry.row.data_centre_number,
+                                    .address = entry.row.address});
+    }
+  }
 }
 
 void platform_poller::PollEntries() {
@@ -101,6 +132,7 @@
     entries_.store(std::move(kept));
   }
   last_poll_ = now;
+  LearnPeers();
 }
 
 void platform_poller::PollInstances() {
--- a/packages/daemon/src/platform_poller.h
+++ b/packages/daemon/src/platform_poller.h
@@ -13,6 +13,8 @@
 #include "entry_registry.h"
 #include "metrics.h"
 #include "repeating_thread.h"
+#include "tarragondrift/config/config_store.h"
+#include "tarragondrift/link/peer_messages.h"
 #include "tarragondrift/platform/instances.h"
 #include "tarragondrift/platform/table.h"
 
@@ -40,12 +42,17 @@
     return entries_.load();
   }
 
+  /// Gives the text of the configuration in force.
+  config_text Config() const;
+
   /// Writes that this entry stopped, and who has its answers.
   result<void> WriteStopped(std::optional<incarnation> successor);
 
  private:
   void PollTable();
   void PollConfig();
+  void TakeConfig(const config_head& head, const std::string& text);
+  void LearnPeers();
   void PollEntries();
   void PollInstances();
   void PollUpstream(const std::string& upstream);
@@ -60,7 +67,8 @@
   std::shared_ptr<const config_document> config_;
   instant last_poll_;
   instant next_row_;
-  std::mutex mutex_;
+  mutable std::mutex mutex_;
+  config_text text_;
   std::set<std::string> failing_;
   // Last, so that the threads end before what they use.
   repeating_thread table_thread_;
--- a/packages/daemon/src/process.cc
+++ b/packages/daemon/src/process.cc
@@ -1,6 +1,8 @@
 #include "process.h"
 
+#include <boost/outcome/try.hpp>
 #include <random>
+#include <thread>
 #include <utility>
 
 #include "logging.h"
@@ -12,6 +14,9 @@
 namespace {
 
 constexpr uint32_t kMostOperatorConnections = 64;
+/// Time for the last answers to leave the process.
+constexpr std::chrono::milliseconds kSendLimit{2'000};
+constexpr std::chrono::milliseconds kSendPoll{10};
 
 uint64_t DrawRandom() {
   constexpr uint32_t kHalf = 32;
@@ -22,7 +27,16 @@
 engine_options MakeEngineOptions(const settings& from, incarnation self) {
   return {.entry = {.data_centre = from.data_centre_number,
                     .self = self,
-                    .dispatch = {.seed = DrawRandom()}}};
+                    .dispatch = {.seed = DrawRandom()}},
+          .members = {.self = self,
+                      .data_centre = from.data_centre_number,
+                      .address = from.peers}};
+}
+
+/// Logs that an address can't be listened on.
+result_code ListenFailed(const std::string& address, result_code code) {
+  log_event(log_level::kError, "listen_failed").With("address", address);
+  return code;
 }
 
 }  // namespace
@@ -33,20 +47,21 @@
       table_(MakeTableClient({.base_url = options.table_url})),
       instances_(MakeInstanceClient({.base_url = options.instances_url})),
       engine_(MakeEngineOptions(options, self_)),
-      outside_(
-          std::make_unique<outside>(settings_, engine_, *table_, metrics_)) {}
+      outside_(std::make_unique<outside>(
+          settings_, self_, engine_, *table_, metrics_,
+          [this] { return poller_->Entries(); })) {}
 
 process::~process() {
   // Requests end first, then what they wait for.
   callers_.reset();
+  peers_.reset();
   operators_.reset();
-  poller_.reset();
   engine_.Stop();
   outside_.reset();
+  poller_.reset();
 }
 
 result<void> process::Start() {
-  engine_.Start(*outside_);
   const entry_row row{.who = self_,
                       .data_centre = settings_.data_centre,
                       .data_centre_number = settings_.data_centre_number,
@@ -56,6 +71,28 @@
                               .interval = settings_.poll_interval,
                               .self = row},
       *table_, *instances_, engine_, metrics_);
+  engine_.Start(*outside_);
+  BOOST_OUTCOME_TRYV(ListenToPeers());
+  BOOST_OUTCOME_TRYV(ListenToCallers());
+  BOOST_OUTCOME_TRYV(ListenToOperators());
+  ready_.store(true);
+  return outcome::success();
+}
+
+result<void> process::ListenToPeers() {
+  peer_calls_ = std::make_unique<peer_calls>(
+      self_, engine_, [this] { return poller_->Config(); });
+  auto peers = peer_server::Start(
+      {.address = settings_.peers, .token = settings_.peer_token},
+      *peer_calls_);
+  if (!peers) {
+    return ListenFailed(settings_.peers, peers.error());
+  }
+  peers_ = std::move(peers).value();
+  return outcome::success();
+}
+
+result<void> process::ListenToCallers() {
   auto callers =
       http_server::Start({.address = settings_.callers,
                           .most_connections = settings_.max_connections,
@@ -64,11 +101,13 @@
                            return ServeCaller(engine_, request);
                          });
   if (!callers) {
-    log_event(log_level::kError, "listen_failed")
-        .With("address", settings_.callers);
-    return callers.error();
+    return ListenFailed(settings_.callers, callers.error());
   }
   callers_ = std::move(callers).value();
+  return outcome::success();
+}
+
+result<void> process::ListenToOperators() {
   auto operators = http_server::Start(
       {.address = settings_.operators,
        .most_connections = kMostOperatorConnections,
@@ -77,12 +116,9 @@
         return ServeOperator(context, request);
       });
   if (!operators) {
-    log_event(log_level::kError, "listen_failed")
-        .With("address", settings_.operators);
-    return operators.error();
+    return ListenFailed(settings_.operators, operators.error());
   }
   operators_ = std::move(operators).value();
-  ready_.store(true);
   return outcome::success();
 }
 
@@ -102,17 +138,23 @@
       .entries = [this] { return poller_->Entries(); }};
 }
 
-void process::BeginDrain(std::function<void()> drained) {
+void process::BeginDrain(drained_callback drained) {
   ready_.store(false);
   engine_.Post(drain_event{std::move(drained)});
 }
 
 void process::ForceDrain() { engine_.Post(force_drain_event{}); }
 
-void process::Deregister() {
-  if (!poller_->WriteStopped(std::nullopt)) {
+void process::Finish(std::optional<incarnation> successor) {
+  callers_->StopAccepting();
+  if (!poller_->WriteStopped(successor)) {
     log_event(log_level::kWarning, "row_not_written");
   }
+  const auto limit = std::chrono::steady_clock::now() + kSendLimit;
+  while (callers_->ActiveRequests() > 0 &&
+         std::chrono::steady_clock::now() < limit) {
+    std::this_thread::sleep_for(kSendPoll);
+  }
 }
 
 }  // namespace tarragondrift
--- a/packages/daemon/src/process.h
+++ b/packages/daemon/src/process.h
@@ -4,14 +4,17 @@
 
 #include <atomic>
 #include <memory>
+#include <optional>
 
 #include "engine.h"
 #include "metrics.h"
 #include "operators_api.h"
 #include "outside.h"
+#include "peer_calls.h"
 #include "platform_poller.h"
 #include "settings.h"
 #include "tarragondrift/gate/http_server.h"
+#include "tarragondrift/link/peer_server.h"
 #include "tarragondrift/platform/instances.h"
 #include "tarragondrift/platform/table.h"
 
@@ -30,16 +33,20 @@
   result<void> Start();
 
   /// Begins a graceful stop; `drained` runs when nothing is left.
-  void BeginDrain(std::function<void()> drained);
+  void BeginDrain(drained_callback drained);
 
   /// Ends a graceful stop at once, with true answers.
   void ForceDrain();
 
-  /// Tells the other entries that this one has stopped.
-  void Deregister();
+  /// Tells the other entries that this one has stopped, and closes the
+  /// callers' address once every answer was sent.
+  void Finish(std::optional<incarnation> successor);
 
  private:
   operators_context MakeContext();
+  result<void> ListenToCallers();
+  result<void> ListenToOperators();
+  result<void> ListenToPeers();
 
   settings settings_;
   incarnation self_;
@@ -50,6 +57,8 @@
   engine engine_;
   std::unique_ptr<outside> outside_;
   std::unique_ptr<platform_poller> poller_;
+  std::unique_ptr<peer_calls> peer_calls_;
+  std::unique_ptr<peer_server> peers_;
   std::unique_ptr<http_server> callers_;
   std::unique_ptr<http_server> operators_;
 };
--- a/packages/daemon/src/store_worker.cc
+++ b/packages/daemon/src/store_worker.cc
@@ -1,30 +1,16 @@
 #include "store_worker.h"
 
 #include <algorithm>
-#include <charconv>
-#include <nlohmann/json.hpp>
 #include <unordered_set>
-#include <utility>
+
+#include "clock.h"
+#include "store_rows.h"
 
 namespace tarragondrift {
 namespace {
 
-/// Rows of one write; the table service takes at most a hundred.
-constexpr size_t kMostRowsPerWrite = 50;
-
-std::string KeyRow(const std::string& key) { return "key/" + key; }
-
-std::string IntentRow(const submission_id& id) {
-  return "intent/" + FormatSubmissionId(id);
-}
-
-/// Writes who holds a key.
-std::string HolderText(const claim_key& claim) {
-  return nlohmann::json{{"id", FormatSubmissionId(claim.id)},
-                        {"high", claim.digest.high},
-                        {"low", claim.digest.low}}
-      .dump();
-}
+/// How long the thread sleeps when nothing waits.
+constexpr std::chrono::seconds kIdleWait{60};
 
 /// Turns a store's error into an outcome.
 store_outcome ToOutcome(result_code code) {
@@ -38,150 +24,166 @@
   }
 }
 
-/// Reads a row of a key.
-/// @param absent the outcome when there is no such row.
-key_claim ReadHolder(table_port& table, const claim_key& claim,
-                     store_outcome absent) {
-  const result<table_row> row = table.Get(KeyRow(claim.key));
-  if (!row) {
-    return {.outcome = row.error() == result_code::kNotFound
-                           ? absent
-                           : store_outcome::kUnknown};
-  }
-  const auto value = nlohmann::json::parse(row.value().value, nullptr, false);
-  if (!value.is_object()) {
-    return {.outcome = store_outcome::kUnknown};
-  }
-  const result<submission_id> holder =
-      ParseSubmissionId(value.value("id", std::string{}));
-  if (!holder) {
-    return {.outcome = store_outcome::kUnknown};
-  }
-  if (holder.value() == claim.id) {
-    return {.outcome = store_outcome::kApplied};
+store_outcome ToOutcome(const result<void>& written) {
+  return written ? store_outcome::kApplied : ToOutcome(written.error());
+}
+
+/// Makes the event of a record whose outcome needs no further look.
+engine_event PlainEvent(const start_record& record, store_outcome outcome) {
+  if (const auto* const claim = std::get_if<claim_key>(&record)) {
+    return claim_ended_event{.id = claim->id, .claim = {.outcome = outcome}};
   }
-  return {.outcome = store_outcome::kConflict,
-          .holder = holder.value(),
-          .holder_digest = {value.value("high", uint64_t{0}),
-                            value.value("low", uint64_t{0})}};
+  return record_ended_event{.id = std::get<record_intent>(record).id,
+                            .outcome = outcome};
 }
 
-/// Claims keys that differ in one write.
-result<void> InsertKeys(table_port& table,
-                        const std::vector<claim_key>& claims) {
-  std::vector<table_write> writes;
-  writes.reserve(claims.size());
-  for (const claim_key& claim : claims) {
-    writes.push_back({.key = KeyRow(claim.key),
-                      .value = HolderText(claim),
-                      .expected_version = 0});
+/// Tells who holds a key, from its row.
+engine_event HeldKeyEvent(const claim_key& claim, const std::string& value) {
+  const std::optional<key_claim> holder = ParseKeyHolder(value);
+  if (!holder.has_value()) {
+    return PlainEvent(claim, store_outcome::kUnknown);
   }
-  return table.Write(writes);
+  if (holder->holder == claim.id) {
+    return PlainEvent(claim, store_outcome::kApplied);
+  }
+  return claim_ended_event{.id = claim.id, .claim = *holder};
 }
 
-/// Claims one key and finds out who holds it when that fails.
-key_claim ClaimOne(table_port& table, const claim_key& claim) {
-  const result<void> inserted = InsertKeys(table, {claim});
-  if (inserted) {
-    return {.outcome = store_outcome::kApplied};
+/// Finds out what became of a record whose insert did not plainly succeed.
+engine_event ReadRecordBack(table_port& table, const start_record& record) {
+  const result<table_row> row = table.Get(RecordRow(record).key);
+  if (!row) {
+    // A write whose reply was lost may still arrive, so that an absent row
+    // proves nothing.
+    return PlainEvent(record, store_outcome::kUnknown);
   }
-  const store_outcome outcome = ToOutcome(inserted.error());
-  if (outcome == store_outcome::kUnavailable) {
-    return {.outcome = outcome};
+  if (const auto* const claim = std::get_if<claim_key>(&record)) {
+    return HeldKeyEvent(*claim, row.value().value);
   }
-  // A write whose reply was lost may still arrive, so that an absent row
-  // proves nothing.
-  return ReadHolder(table, claim, store_outcome::kUnknown);
+  const bool own = row.value().value == kIntentStarted;
+  return PlainEvent(record,
+                    own ? store_outcome::kApplied : store_outcome::kConflict);
 }
 
-/// Tells whether any key stands twice.
-bool HaveTwins(const std::vector<claim_key>& claims) {
+engine_event WriteOne(table_port& table, const start_record& record) {
+  const store_outcome outcome = ToOutcome(table.Write({RecordRow(record)}));
+  const bool plain = outcome == store_outcome::kApplied ||
+                     outcome == store_outcome::kUnavailable;
+  return plain ? PlainEvent(record, outcome) : ReadRecordBack(table, record);
+}
+
+/// Tells whether two records have the same row, which no write may hold twice.
+bool HaveTwins(const std::vector<table_write>& rows) {
   std::unordered_set<std::string> keys;
-  return std::any_of(claims.begin(), claims.end(),
-                     [&keys](const claim_key& claim) {
-                       return !keys.insert(claim.key).second;
-                     });
+  return std::any_of(rows.begin(), rows.end(), [&keys](const table_write& row) {
+    return !keys.insert(row.key).second;
+  });
 }
 
 }  // namespace
 
-std::vector<key_claim> ClaimKeys(table_port& table,
-                                 const std::vector<claim_key>& claims) {
-  if (claims.size() > 1 && !HaveTwins(claims)) {
-    const result<void> inserted = InsertKeys(table, claims);
-    const bool none =
-        !inserted && ToOutcome(inserted.error()) == store_outcome::kUnavailable;
-    if (inserted || none) {
-      const key_claim same{.outcome = inserted ? store_outcome::kApplied
-                                               : store_outcome::kUnavailable};
-      return {claims.size(), same};
+std::vector<engine_event> WriteRecords(
+    table_port& table, const std::vector<start_record>& records) {
+  std::vector<table_write> rows;
+  rows.reserve(records.size());
+  for (const start_record& record : records) {
+    rows.push_back(RecordRow(record));
+  }
+  std::vector<engine_event> events;
+  events.reserve(records.size());
+  if (rows.size() > 1 && !HaveTwins(rows)) {
+    const store_outcome outcome = ToOutcome(table.Write(rows));
+    if (outcome == store_outcome::kApplied ||
+        outcome == store_outcome::kUnavailable) {
+      for (const start_record& record : records) {
+        events.push_back(PlainEvent(record, outcome));
+      }
+      return events;
+    }
+    if (outcome == store_outcome::kUnknown) {
+      for (const start_record& record : records) {
+        events.push_back(ReadRecordBack(table, record));
+      }
+      return events;
     }
   }
-  std::vector<key_claim> outcomes;
-  outcomes.reserve(claims.size());
-  for (const claim_key& claim : claims) {
-    outcomes.push_back(ClaimOne(table, claim));
+  for (const start_record& record : records) {
+    events.push_back(WriteOne(table, record));
   }
-  return outcomes;
+  return events;
 }
 
-std::vector<store_outcome> RecordIntents(
-    table_port& table, const std::vector<record_intent>& records) {
-  std::vector<table_write> writes;
-  writes.reserve(records.size());
-  for (const record_intent& record : records) {
-    writes.push_back({.key = IntentRow(record.id), .value = "started"});
+fence_outcome FenceIntent(table_port& table, const submission_id& id) {
+  const table_write fence = IntentRow(id, kIntentFenced);
+  const result<void> written = table.Write({fence});
+  if (written) {
+    return fence_outcome::kFenced;
   }
-  const result<void> written = table.Write(writes);
-  const store_outcome outcome =
-      written ? store_outcome::kApplied : ToOutcome(written.error());
-  return {records.size(), outcome};
+  const result<table_row> row = table.Get(fence.key);
+  if (!row) {
+    return fence_outcome::kUnknown;
+  }
+  return row.value().value == kIntentFenced ? fence_outcome::kFenced
+                                            : fence_outcome::kRecorded;
 }
 
-store_worker::store_worker(table_port& table, event_sink ended)
-    : table_(table), ended_(std::move(ended)), thread_([this] { Loop(); }) {}
+interval_ended_event ClaimKeyInterval(table_port& table,
+                                      const key_interval& interval,
+                                      incarnation self) {
+  const table_write claim = IntervalRow(interval, self);
+  interval_ended_event ended{.interval = interval, .holder = self};
+  ended.outcome = ToOutcome(table.Write({claim}));
+  if (ended.outcome == store_outcome::kApplied ||
+      ended.outcome == store_outcome::kUnavailable) {
+    return ended;
+  }
+  const result<table_row> row = table.Get(claim.key);
+  const auto holder = row ? ParseIncarnation(row.value().value) : std::nullopt;
+  if (!holder.has_value()) {
+    ended.outcome = store_outcome::kUnknown;
+    return ended;
+  }
+  ended.holder = *holder;
+  ended.outcome =
+      *holder == self ? store_outcome::kApplied : store_outcome::kConflict;
+  return ended;
+}
+
+store_worker::store_worker(table_port& table, incarnation self,
+                           event_sink ended)
+    : table_(table),
+      self_(self),
+      ended_(std::move(ended)),
+      thread_([this] { Loop(); }) {}
 
 store_worker::~store_worker() {
   mailbox_.Close();
   thread_.join();
 }
 
+void store_worker::Take(const fence_intent& asked) {
+  ended_(fence_ended_event{.asked = asked,
+                           .outcome = FenceIntent(table_, asked.id)});
+}
+
+void store_worker::Take(const claim_interval& claim) {
+  ended_(ClaimKeyInterval(table_, claim.interval, self_));
+}
+
 void store_worker::Loop() {
-  std::vector<claim_key> claims;
-  std::vector<record_intent> records;
-  const auto write_claims = [&] {
-    const std::vector<key_claim> outcomes = ClaimKeys(table_, claims);
-    for (size_t at = 0; at < claims.size(); ++at) {
-      ended_(claim_ended_event{.id = claims[at].id, .claim = outcomes[at]});
-    }
-    claims.clear();
-  };
-  const auto write_records = [&] {
-    const std::vector<store_outcome> outcomes = RecordIntents(table_, records);
-    for (size_t at = 0; at < records.size(); ++at) {
-      ended_(record_ended_event{.id = records[at].id, .outcome = outcomes[at]});
-    }
-    records.clear();
-  };
   while (!mailbox_.Closed()) {
-    for (job& one : mailbox_.Take()) {
-      if (auto* const claim = std::get_if<claim_key>(&one)) {
-        claims.push_back(std::move(*claim));
-      } else {
-        records.push_back(std::get<record_intent>(one));
-      }
-      if (claims.size() == kMostRowsPerWrite) {
-        write_claims();
-      }
-      if (records.size() == kMostRowsPerWrite) {
-        write_records();
-      }
+    const instant wake =
+        group_.waiting.empty() ? Now() + kIdleWait : group_.next_write;
+    for (order& one : mailbox_.TakeUntil(ToSteady(wake))) {
+      std::visit([this](auto& wanted) { Take(wanted); }, one);
     }
-    if (!claims.empty()) {
-      write_claims();
+    tarragondrift::SetWriters(group_, writers_.load());
+    const std::vector<start_record> records = TakeGroup(group_, Now());
+    if (records.empty()) {
+      continue;
     }
-    if (!records.empty()) {
-      write_records();
+    for (engine_event& event : WriteRecords(table_, records)) {
+      ended_(std::move(event));
     }
   }
 }
--- a/packages/gate/include/tarragondrift/gate/http_server.h
+++ b/packages/gate/include/tarragondrift/gate/http_server.h
@@ -60,7 +60,7 @@
   /// Takes no new connection; those that are open go on.
   virtual void StopAccepting() = 0;
 
-  /// Counts the requests that are being handled now.
+  /// Counts the requests whose answers were not sent yet.
   virtual size_t ActiveRequests() const = 0;
 };
 
--- a/packages/gate/src/http_server.cc
+++ b/packages/gate/src/http_server.cc
@@ -58,9 +58,7 @@
     }
   }
 
-  size_t ActiveRequests() const override {
-    return active_.load(std::memory_order_relaxed);
-  }
+  size_t ActiveRequests() const override { return active_.load(); }
 
  private:
   /// Starts the daemon under ulfius with a bound on the connections, which the
@@ -72,11 +70,11 @@
                                     MHD_USE_POLL | MHD_USE_ITC;
     std::array<MHD_OptionItem, 8> items{{
         {MHD_OPTION_NOTIFY_COMPLETED,
-         reinterpret_cast<intptr_t>(&mhd_request_completed),  // NOLINT: C API
-         nullptr},
+         reinterpret_cast<intptr_t>(&OnCompleted),  // NOLINT: C API
+         this},
         {MHD_OPTION_URI_LOG_CALLBACK,
-         reinterpret_cast<intptr_t>(&ulfius_uri_logger),  // NOLINT: C API
-         nullptr},
+         reinterpret_cast<intptr_t>(&OnBegin),  // NOLINT: C API
+         this},
         {MHD_OPTION_SOCK_ADDR, 0, &address_},
         {MHD_OPTION_CONNECTION_LIMIT,
          static_cast<intptr_t>(options_.most_connections), nullptr},
@@ -93,12 +91,23 @@
     return outcome::success();
   }
 
+  /// Runs when the first line of a request was read.
+  static void* OnBegin(void* self, const char* uri,
+                       MHD_Connection* /*connection*/) {
+    static_cast<ulfius_server*>(self)->active_.fetch_add(1);
+    return ulfius_uri_logger(nullptr, uri);
+  }
+
+  /// Runs when the last byte of an answer was sent, or its connection broke.
+  static void OnCompleted(void* self, MHD_Connection* connection,
+                          void** request, MHD_RequestTerminationCode how) {
+    mhd_request_completed(nullptr, connection, request, how);
+    static_cast<ulfius_server*>(self)->active_.fetch_sub(1);
+  }
+
   static int Serve(const _u_request* request, _u_response* response,
                    void* self) {
-    auto* const server = static_cast<ulfius_server*>(self);
-    server->active_.fetch_add(1, std::memory_order_relaxed);
-    server->Answer(*request, *response);
-    server->active_.fetch_sub(1, std::memory_order_relaxed);
+    static_cast<ulfius_server*>(self)->Answer(*request, *response);
     return U_CALLBACK_COMPLETE;
   }
 
--- a/packages/link/include/tarragondrift/link/peer_client.h
+++ b/packages/link/include/tarragondrift/link/peer_client.h
@@ -6,6 +6,7 @@
 #include <chrono>
 #include <functional>
 #include <memory>
+#include <optional>
 #include <string>
 
 #include "tarragondrift/core/entry_base.h"
@@ -40,7 +41,8 @@
 
   virtual ~peer_client() = default;
 
-  virtual void Submit(const std::string& address, const submission_id& id,
+  virtual void Submit(const std::string& address,
+                      const std::optional<submission_id>& id,
                       const job_content& content,
                       std::chrono::milliseconds wait,
                       peer_callback<submission_reply> done) = 0;
--- a/packages/link/src/peer_client.cc
+++ b/packages/link/src/peer_client.cc
@@ -48,7 +48,8 @@
     all_ended_.wait(lock, [this] { return running_ == 0; });
   }
 
-  void Submit(const std::string& address, const submission_id& id,
+  void Submit(const std::string& address,
+              const std::optional<submission_id>& id,
               const job_content& content, milliseconds wait,
               peer_callback<submission_reply> done) override {
     const auto call =
--- a/packages/link/src/peer_codec.cc
+++ b/packages/link/src/peer_codec.cc
@@ -91,9 +91,11 @@
           from.sequence()};
 }
 
-void Encode(const submission_id& id, const job_content& from, milliseconds wait,
-            wire::SubmitRequest& to) {
-  Encode(id, *to.mutable_id());
+void Encode(const std::optional<submission_id>& id, const job_content& from,
+            milliseconds wait, wire::SubmitRequest& to) {
+  if (id.has_value()) {
+    Encode(*id, *to.mutable_id());
+  }
   to.set_idempotency_key(from.idempotency_key);
   Encode(from.digest, *to.mutable_digest());
   to.set_contract(from.contract);
@@ -110,12 +112,14 @@
 }
 
 job_content Decode(const wire::SubmitRequest& from) {
-  job_content to{.id = Decode(from.id()),
-                 .idempotency_key = from.idempotency_key(),
+  job_content to{.idempotency_key = from.idempotency_key(),
                  .contract = from.contract(),
                  .team = from.team(),
                  .deadline = milliseconds(from.deadline_ms()),
                  .digest = Decode(from.digest())};
+  if (from.has_id()) {
+    to.id = Decode(from.id());
+  }
   for (const wire::Task& task : from.tasks()) {
     to.tasks.push_back({task.name(), task.upstream(),
                         microseconds(task.declared_us()), task.payload()});
--- a/packages/link/src/peer_codec.h
+++ b/packages/link/src/peer_codec.h
@@ -3,6 +3,7 @@
 #define TARRAGONDRIFT_LINK_SRC_PEER_CODEC_H_
 
 #include <chrono>
+#include <optional>
 
 #include "peer.pb.h"
 #include "tarragondrift/core/membership_base.h"
@@ -15,7 +16,8 @@
 void Encode(const submission_id& from, wire::SubmissionId& to);
 submission_id Decode(const wire::SubmissionId& from);
 
-void Encode(const submission_id& id, const job_content& from,
+/// Writes a job under the id that names it, which may be none.
+void Encode(const std::optional<submission_id>& id, const job_content& from,
             std::chrono::milliseconds wait, wire::SubmitRequest& to);
 job_content Decode(const wire::SubmitRequest& from);
 
