--- a/packages/bench/policy/world.cc
+++ b/packages/bench/policy/world.cc
@@ -49,11 +49,18 @@
   return config;
 }
 
+void AddSlowdown(world& state, const work_job& work, double slowdown) {
+  constexpr std::array<size_t, 3> kLargest{1, 19, 99};
+  const auto at =
+      std::lower_bound(kLargest.begin(), kLargest.end(), work.tasks.size());
+  state.totals.slowdowns.push_back(slowdown);
+  state.totals.by_class[at - kLargest.begin()].push_back(slowdown);
+}
+
 /// Counts a job without an answer as one that is answered at its deadline.
 void CountUnanswered(world& state, const work_job& work) {
   if (!work.poison) {
-    state.totals.slowdowns.push_back(ToSeconds(work.deadline) /
-                                     ToSeconds(work.ideal));
+    AddSlowdown(state, work, ToSeconds(work.deadline) / ToSeconds(work.ideal));
   }
 }
 
@@ -68,7 +75,7 @@
   } else {
     ++state.totals.answered;
     const double slowdown = ToSeconds(response) / ToSeconds(job.work->ideal);
-    state.totals.slowdowns.push_back(slowdown);
+    AddSlowdown(state, *job.work, slowdown);
     if (response <= job.work->deadline) {
       ++state.totals.on_time;
       for (const work_task& task : job.work->tasks) {
--- a/packages/bench/policy/world.h
+++ b/packages/bench/policy/world.h
@@ -3,6 +3,7 @@
 #ifndef TARRAGONDRIFT_BENCH_POLICY_WORLD_H_
 #define TARRAGONDRIFT_BENCH_POLICY_WORLD_H_
 
+#include <array>
 #include <cstdint>
 #include <deque>
 #include <functional>
@@ -122,7 +123,10 @@
   double slot_samples = 0;
   double bytes_per_s = 0;
   double leaving_after_s = 0;
+  uint64_t requests = 0;
   std::vector<double> slowdowns;
+  /// The same of jobs of 1, up to 19, up to 99 and more tasks.
+  std::array<std::vector<double>, 4> by_class;
   std::vector<double> team_s;
 };
 
--- a/packages/core/include/tarragondrift/core/dispatch_base.h
+++ b/packages/core/include/tarragondrift/core/dispatch_base.h
@@ -52,6 +52,8 @@
   uint32_t ejected = 0;
   uint32_t in_flight = 0;
   uint32_t next = 0;
+  /// Average running time of what succeeded.
+  std::chrono::microseconds running_time{200'000};
   /// Since when no instance has been there.
   instant none_since;
 };
@@ -77,7 +79,12 @@
   /// Seeds the choices among instances.
   uint64_t seed = 1;
   queue_order order = queue_order::kFairSmallFirst;
-  placement_rule placement = placement_rule::kTwoChoices;
+  /// A job's target, as a multiple of the time that it would take alone.
+  double stretch = 2.0;
+  /// Running time by which a team of weight 1 may be ahead of the others while
+  /// little waits.
+  std::chrono::microseconds team_slack{100'000'000};
+  placement_rule placement = placement_rule::kLeastLoaded;
   health_options health;
   /// Corrects declared times by observed ones.
   bool learn = true;
@@ -87,6 +94,9 @@
   bool watch_health = true;
   /// Share of a deadline that the expected answer may take, in percent.
   uint32_t deadline_use_percent = 80;
+  /// Slots are borrowed for jobs that would miss this multiple of the time that
+  /// they would take alone.
+  double borrow_stretch = 1.02;
   /// How long jobs wait for a first instance before they are refused.
   std::chrono::milliseconds instance_wait{5'000};
 };
--- a/packages/core/include/tarragondrift/core/dispatch_cmd.h
+++ b/packages/core/include/tarragondrift/core/dispatch_cmd.h
@@ -65,6 +65,10 @@
 /// Counts the free slots of one upstream that this entry may use now.
 uint32_t FreeSlots(const dispatcher& state, upstream_id upstream);
 
+/// Counts the slots that one upstream's waiting tasks lack to be in time: those
+/// that have to start before so many own slots come free.
+uint32_t LoanDemand(const dispatcher& state, upstream_id upstream, instant now);
+
 /// Tells how long a refused job should wait before it is sent again.
 std::chrono::milliseconds RetryAfter(const dispatcher& state,
                                      const job_request& request, instant now);
--- a/packages/core/include/tarragondrift/core/loan_cmd.h
+++ b/packages/core/include/tarragondrift/core/loan_cmd.h
@@ -64,11 +64,17 @@
 void TakeReturn(shares& state, const loan_return& message);
 
 /// Gives back borrowed slots on which nothing runs: those of expired loans, and
-/// all when the entry is `idle`, which means that nothing waits.
+/// those held for long enough when the entry is `idle`, which means that
+/// nothing waits.
 std::vector<return_target> ReturnLoans(shares& state,
                                        std::span<const loan_view> instances,
                                        bool idle, instant now);
 
+/// Gives back what is idle of one lender's slots, as it asks for slots itself.
+std::vector<return_target> ReturnTo(shares& state, incarnation lender,
+                                    std::span<const loan_view> instances,
+                                    instant now);
+
 /// Counts the slots of an instance that are lent out at a time.
 uint32_t LentSlots(const shares& state, const std::string& address,
                    instant now);
--- a/packages/core/include/tarragondrift/core/queue_base.h
+++ b/packages/core/include/tarragondrift/core/queue_base.h
@@ -66,6 +66,10 @@
   std::chrono::microseconds work{0};
   /// Estimated running time of the longest task when it came.
   std::chrono::microseconds longest{0};
+  /// What the job would take alone; its target is a multiple of that.
+  std::chrono::microseconds ideal{0};
+  /// Estimated over declared running time of the longest task.
+  double scale = 1;
   int64_t key = 0;
 };
 
@@ -102,6 +106,8 @@
   double virtual_time = 0;
   std::chrono::microseconds work{0};
   uint32_t tasks = 0;
+  /// Slots over which the work is spread.
+  uint32_t slots = 1;
   /// Sum of the weights of the teams that wait.
   double waiting_weight = 0;
 };
@@ -121,8 +127,13 @@
 /// All that waits at one entry.
 struct task_queue {
   queue_order order = queue_order::kFairSmallFirst;
-  /// Waiting time that makes up for one unit of a job's own time.
+  /// A job's target, as a multiple of the time that it would take alone.
   double stretch = 2.0;
+  /// Running time by which a team may be ahead of the others, divided by its
+  /// weight, before its jobs have to wait for theirs; applies while what waits
+  /// is less than `little` for each slot.
+  std::chrono::microseconds slack{0};
+  std::chrono::microseconds little{3'000'000};
   pool<task_group, group_id> groups;
   std::vector<upstream_queue> upstreams;
   std::vector<queue_team> teams;
--- a/packages/core/include/tarragondrift/core/queue_cmd.h
+++ b/packages/core/include/tarragondrift/core/queue_cmd.h
@@ -6,6 +6,7 @@
 #include <chrono>
 #include <optional>
 #include <span>
+#include <vector>
 
 #include "tarragondrift/core/queue_base.h"
 
@@ -36,6 +37,18 @@
 void CorrectCharge(task_queue& queue, upstream_id upstream, team_id team,
                    std::chrono::microseconds difference);
 
+/// Tasks that have to start by a moment.
+struct start_demand {
+  instant by;
+  uint32_t tasks = 0;
+};
+
+/// Lists the first groups of the first teams of an upstream, with the moments
+/// by which their tasks have to start to end within `stretch` times what their
+/// job would take alone; earliest first.
+std::vector<start_demand> StartDemands(const task_queue& queue,
+                                       upstream_id upstream, double stretch);
+
 /// Lets teams start again whose quota has refilled.
 void RefillQuotas(task_queue& queue, instant now);
 
--- a/packages/core/include/tarragondrift/core/share_base.h
+++ b/packages/core/include/tarragondrift/core/share_base.h
@@ -107,12 +107,15 @@
   std::chrono::milliseconds loan_time{2'000};
   /// Between two requests for a loan to the same peer.
   std::chrono::milliseconds loan_interval{20};
+  /// Slots are kept for this long before idle ones are given back.
+  std::chrono::milliseconds loan_hold{100};
   /// After which a request counts as lost.
   std::chrono::milliseconds loan_timeout{1'000};
-  /// Most slots asked for at once.
+  /// Fewest and most slots asked for at once.
+  uint32_t smallest_loan = 6;
   uint32_t largest_loan = 64;
   /// Part of its idle slots that an entry lends at once, in percent.
-  uint32_t lend_percent = 50;
+  uint32_t lend_percent = 70;
   /// Time that a write of the row is waited for.
   std::chrono::milliseconds write_timeout{2'000};
   share_mutation mutation = share_mutation::kNone;
@@ -171,6 +174,7 @@
   std::vector<loan_item> items;
   /// The last return that was sent.
   uint32_t part = 0;
+  instant taken;
   /// No attempt starts on them from then on.
   instant expires;
 };
--- a/packages/core/src/dispatch_cmd.cc
+++ b/packages/core/src/dispatch_cmd.cc
@@ -203,6 +203,11 @@
   }
 }
 
+void LearnRunningTime(open_instances& upstream, microseconds observed) {
+  constexpr int64_t kNewest = 200;
+  upstream.running_time += (observed - upstream.running_time) / kNewest;
+}
+
 /// Learns from how an attempt ended.
 void Learn(dispatcher& state, upstream_instance& instance,
            const placement& placed, const attempt_result& ended, instant now) {
@@ -213,6 +218,7 @@
         LearnSuccess(instance.health, placed.task.estimated,
                      ended.service_time);
       }
+      LearnRunningTime(OpenOf(state, instance.upstream), ended.service_time);
       LearnTime(At(state.contracts, placed.task.contract), placed.task.declared,
                 ended.service_time);
       CountOutcome(team, false);
@@ -236,6 +242,8 @@
   dispatcher state;
   state.options = options;
   state.queue.order = options.order;
+  state.queue.stretch = options.stretch;
+  state.queue.slack = options.team_slack;
   state.random.seed(options.seed);
   return state;
 }
@@ -455,6 +463,25 @@
   return free;
 }
 
+uint32_t LoanDemand(const dispatcher& state, upstream_id upstream,
+                    instant now) {
+  if (!HasWaiting(state.queue, upstream)) {
+    return 0;
+  }
+  const open_instances& open = state.upstreams[upstream.index];
+  const auto running = static_cast<double>(open.running_time.count());
+  const double freed_per_us = open.slots / running;
+  double tasks = 0;
+  double lacking = 0;
+  for (const start_demand& demand :
+       StartDemands(state.queue, upstream, state.options.borrow_stretch)) {
+    tasks += demand.tasks;
+    const auto left = static_cast<double>((demand.by - now).count());
+    lacking = std::max(lacking, tasks - freed_per_us * std::max(left, 0.0));
+  }
+  return static_cast<uint32_t>(lacking);
+}
+
 bool TakeRetry(dispatcher& state) { return SpendRetry(state.retries); }
 
 }  // namespace tarragondrift
--- a/packages/core/src/loan_cmd.cc
+++ b/packages/core/src/loan_cmd.cc
@@ -132,6 +132,30 @@
   return items;
 }
 
+/// Gives back what can be of the chosen loans.
+template <class Choose>
+std::vector<return_target> ReturnWhere(shares& state,
+                                       std::span<const loan_view> instances,
+                                       const Choose& choose, instant now) {
+  std::vector<return_target> returns;
+  for (loan_in& loan : state.borrowed) {
+    auto items = choose(loan) ? ReturnableItems(state, loan, instances, now)
+                              : std::vector<loan_item>{};
+    if (items.empty()) {
+      continue;
+    }
+    Subtract(loan.items, items);
+    returns.push_back({.to = loan.lender,
+                       .message = {.from = state.options.self,
+                                   .number = loan.number,
+                                   .part = ++loan.part,
+                                   .items = std::move(items)}});
+  }
+  std::erase_if(state.borrowed,
+                [](const loan_in& loan) { return loan.items.empty(); });
+  return returns;
+}
+
 }  // namespace
 
 std::optional<loan_target> AskLoan(shares& state, const std::string& upstream,
@@ -155,7 +179,8 @@
       .request = {.from = state.options.self,
                   .number = number,
                   .upstream = upstream,
-                  .wanted = std::min(queued, state.options.largest_loan)}};
+                  .wanted = std::clamp(queued, state.options.smallest_loan,
+                                       state.options.largest_loan)}};
 }
 
 loan_grant AnswerLoan(shares& state, const loan_request& request,
@@ -206,6 +231,7 @@
   state.borrowed.push_back({.lender = grant.from,
                             .number = grant.number,
                             .items = grant.items,
+                            .taken = now,
                             .expires = expires});
   return now < expires;
 }
@@ -226,25 +252,20 @@
 std::vector<return_target> ReturnLoans(shares& state,
                                        std::span<const loan_view> instances,
                                        bool idle, instant now) {
-  std::vector<return_target> returns;
-  for (loan_in& loan : state.borrowed) {
-    if (!idle && now < loan.expires) {
-      continue;
-    }
-    auto items = ReturnableItems(state, loan, instances, now);
-    if (items.empty()) {
-      continue;
-    }
-    Subtract(loan.items, items);
-    returns.push_back({.to = loan.lender,
-                       .message = {.from = state.options.self,
-                                   .number = loan.number,
-                                   .part = ++loan.part,
-                                   .items = std::move(items)}});
-  }
-  std::erase_if(state.borrowed,
-                [](const loan_in& loan) { return loan.items.empty(); });
-  return returns;
+  const auto due = [&](const loan_in& loan) {
+    const bool held = now - loan.taken >= state.options.loan_hold;
+    return now >= loan.expires || (idle && held);
+  };
+  return ReturnWhere(state, instances, due, now);
+}
+
+std::vector<return_target> ReturnTo(shares& state, incarnation lender,
+                                    std::span<const loan_view> instances,
+                                    instant now) {
+  const auto from = [lender](const loan_in& loan) {
+    return loan.lender == lender;
+  };
+  return ReturnWhere(state, instances, from, now);
 }
 
 uint32_t LentSlots(const shares& state, const std::string& address,
--- a/packages/core/src/queue_cmd.cc
+++ b/packages/core/src/queue_cmd.cc
@@ -29,16 +29,21 @@
   return std::max(group.longest, spread);
 }
 
-/// Gives a group's key: a moment that is the earlier the older and the smaller
-/// it is, so that the order among groups never changes by waiting alone.
+/// Gives a group's key: the moment by which its next task has to start if the
+/// job is to end within its target. The order among groups never changes by
+/// waiting alone; a small job is urgent soon, and each grows urgent with age.
 int64_t KeyOf(const task_queue& queue, const task_group& group,
               uint32_t slots) {
   const int64_t came = group.enqueued.time_since_epoch().count();
-  if (queue.order == queue_order::kFifo) {
+  if (queue.order == queue_order::kFifo || group.tasks.empty()) {
     return came;
   }
-  const auto ideal = static_cast<double>(IdealTime(group, slots).count());
-  return came + static_cast<int64_t>(queue.stretch * ideal);
+  const double target =
+      queue.stretch * static_cast<double>(group.ideal.count());
+  const double next = group.scale * group.tasks.back().declared_us;
+  const double spread =
+      static_cast<double>(group.work.count()) / std::max(slots, 1U);
+  return came + static_cast<int64_t>(target - std::max(next, spread));
 }
 
 /// Lists a team that has something waiting, unless its quota holds it.
@@ -105,11 +110,33 @@
   }
 }
 
+/// Gives the team whose job goes next: of those within the slack of the one
+/// that is furthest behind, the one with the most urgent job. Looks at a few
+/// teams only.
+uint32_t FrontTeam(const task_queue& queue, const upstream_queue& waiting) {
+  constexpr int kMostTeams = 8;
+  const bool little = waiting.work < waiting.slots * queue.little;
+  const auto slack = little ? static_cast<double>(queue.slack.count()) : 0.0;
+  const double limit = waiting.order.begin()->pass + slack;
+  uint32_t best = waiting.order.begin()->team;
+  int seen = 0;
+  for (const team_place& place : waiting.order) {
+    if (place.pass > limit || seen == kMostTeams) {
+      break;
+    }
+    ++seen;
+    const int64_t key = waiting.teams[place.team].groups.begin()->key;
+    if (key < waiting.teams[best].groups.begin()->key) {
+      best = place.team;
+    }
+  }
+  return best;
+}
+
 /// Gives the group at the front of an upstream's queue.
 group_id FrontGroup(const task_queue& queue, upstream_id upstream) {
   const upstream_queue& waiting = queue.upstreams[upstream.index];
-  const uint32_t team = waiting.order.begin()->team;
-  return waiting.teams[team].groups.begin()->group;
+  return waiting.teams[FrontTeam(queue, waiting)].groups.begin()->group;
 }
 
 /// Moves the front group to the place that its remaining work gives it.
@@ -167,6 +194,15 @@
             });
 }
 
+/// Gives when a group's tasks have to start, taken together.
+start_demand DemandOf(const task_group& group, double stretch) {
+  const microseconds target{
+      static_cast<int64_t>(stretch * static_cast<double>(group.ideal.count()))};
+  const microseconds mean = group.work / group.tasks.size();
+  return {.by = group.enqueued + target - mean,
+          .tasks = static_cast<uint32_t>(group.tasks.size())};
+}
+
 }  // namespace
 
 upstream_queue& QueueOf(task_queue& queue, upstream_id upstream) {
@@ -195,6 +231,7 @@
                    .deadline = first.deadline,
                    .work = work,
                    .longest = longest};
+  group.ideal = IdealTime(group, slots);
   constexpr int64_t kMostDeclared = 0xffffffffLL;
   group.tasks.reserve(tasks.size());
   for (const queued_task& task : tasks) {
@@ -203,6 +240,9 @@
     group.tasks.push_back({task.task.number, static_cast<uint32_t>(declared)});
   }
   SortTasks(queue.order, group.tasks);
+  const uint32_t longest_declared =
+      std::max(1U, group.tasks.back().declared_us);
+  group.scale = static_cast<double>(longest.count()) / longest_declared;
   group.key = KeyOf(queue, group, slots);
   CountWaiting(queue, group, static_cast<int32_t>(tasks.size()), work);
   upstream_queue& upstream = QueueOf(queue, group.upstream);
@@ -210,6 +250,7 @@
   const job_id job = group.job;
   const int64_t key = group.key;
   const group_id id = queue.groups.Insert(std::move(group));
+  upstream.slots = std::max(slots, 1U);
   upstream.teams[team].groups.insert({key, id});
   queue.jobs[job].push_back(id);
   ListTeam(queue, upstream, team);
@@ -238,12 +279,14 @@
 
 queued_task PopTask(task_queue& queue, upstream_id upstream,
                     microseconds estimated, uint32_t slots) {
-  const group_id id = FrontGroup(queue, upstream);
-  task_group& group = queue.groups.Get(id);
   upstream_queue& waiting = queue.upstreams[upstream.index];
-  const uint32_t index = waiting.order.begin()->team;
+  const uint32_t index = FrontTeam(queue, waiting);
   team_queue& team = waiting.teams[index];
-  waiting.virtual_time = std::max(waiting.virtual_time, team.pass);
+  const group_id id = team.groups.begin()->group;
+  task_group& group = queue.groups.Get(id);
+  waiting.slots = std::max(slots, 1U);
+  waiting.virtual_time =
+      std::max(waiting.virtual_time, waiting.order.begin()->pass);
 
   queued_task next = MakeTask(group);
   next.estimated = estimated;
@@ -268,6 +311,32 @@
   return next;
 }
 
+std::vector<start_demand> StartDemands(const task_queue& queue,
+                                       upstream_id upstream, double stretch) {
+  constexpr int kMostTeams = 8;
+  constexpr int kMostGroups = 4;
+  const upstream_queue& waiting = queue.upstreams[upstream.index];
+  std::vector<start_demand> demands;
+  int teams = 0;
+  for (const team_place& place : waiting.order) {
+    int groups = 0;
+    for (const group_place& at : waiting.teams[place.team].groups) {
+      demands.push_back(DemandOf(queue.groups.Get(at.group), stretch));
+      if (++groups == kMostGroups) {
+        break;
+      }
+    }
+    if (++teams == kMostTeams) {
+      break;
+    }
+  }
+  std::sort(demands.begin(), demands.end(),
+            [](const start_demand& left, const start_demand& right) {
+              return left.by < right.by;
+            });
+  return demands;
+}
+
 void CorrectCharge(task_queue& queue, upstream_id upstream, team_id team,
                    microseconds difference) {
   upstream_queue& waiting = QueueOf(queue, upstream);
