--- a/packages/config/include/tarragondrift/config/config_store.h
+++ b/packages/config/include/tarragondrift/config/config_store.h
@@ -41,6 +41,9 @@
   std::string operation;
   /// The version that the operator saw. Absent: the version found now.
   std::optional<uint64_t> expected_version;
+  /// The same command was sent before and its outcome is unknown: a copy of it
+  /// may still take effect, so no store code can promise "no effect".
+  bool repeated = false;
 };
 
 /// How a change ended.
--- a/packages/config/src/config_store.cc
+++ b/packages/config/src/config_store.cc
@@ -120,6 +120,8 @@
   head_row base;
   config_head next;
   std::string text;
+  /// An earlier copy of it may still take effect.
+  bool maybe_sent = false;
 };
 
 /// The writes of a change: the document too, so that no prune can take it
@@ -171,7 +173,7 @@
 /// condition on the head row lets it take effect once at most, and a conflict
 /// then proves that no earlier copy can still do so.
 change_outcome CommitChange(table_port& table, const proposal& change) {
-  bool maybe_applied = false;
+  bool maybe_applied = change.maybe_sent;
   result_code last = result_code::kInternal;
   for (uint32_t attempt = 0; attempt < kMostWriteAttempts; ++attempt) {
     const result<void> written = table.Write(MakeWrites(change));
@@ -224,7 +226,8 @@
                           const config_change& change) {
   const result<head_row> base = ReadHeadRow(table, where);
   if (base.has_error()) {
-    return Refuse(base.assume_error());
+    return Refuse(change.repeated ? result_code::kConfigOutcomeUnknown
+                                  : base.assume_error());
   }
   const config_head& latest = base.assume_value().head;
   if (latest.operation == change.operation) {
@@ -245,7 +248,8 @@
                                           .by = change.by,
                                           .at = change.at,
                                           .operation = change.operation},
-                      .text = text});
+                      .text = text,
+                      .maybe_sent = change.repeated});
 }
 
 /// The history of all environments, parted at the versions to keep.
@@ -345,7 +349,8 @@
   }
   const result<std::string> text = ReadDocument(table, digest);
   if (text.has_error()) {
-    return Refuse(text.assume_error());
+    return Refuse(change.repeated ? result_code::kConfigOutcomeUnknown
+                                  : text.assume_error());
   }
   parsed_config parsed = ParseConfigDocument(text.assume_value());
   if (!parsed.Valid()) {
--- a/packages/config/test/config_store_test.cc
+++ b/packages/config/test/config_store_test.cc
@@ -129,6 +129,24 @@
   CHECK(Production(table).version == 1);
 }
 
+TEST_CASE("A repeat never promises that the first copy had no effect") {
+  memory_table table;
+  const std::string digest = Try(table, 1);
+  table.write_faults = {write_fault::kDelayed,     write_fault::kUnavailable,
+                        write_fault::kUnavailable, write_fault::kUnavailable,
+                        write_fault::kUnavailable, write_fault::kUnavailable,
+                        write_fault::kUnavailable, write_fault::kUnavailable};
+  config_change change = By("ana", "p1", 0);
+  REQUIRE(PromoteDocument(table, digest, change).code ==
+          result_code::kConfigOutcomeUnknown);
+  change.repeated = true;
+  CHECK(PromoteDocument(table, digest, change).code ==
+        result_code::kConfigOutcomeUnknown);
+  table.reads_fail = true;
+  CHECK(PromoteDocument(table, digest, change).code ==
+        result_code::kConfigOutcomeUnknown);
+}
+
 TEST_CASE("A delayed copy of an accepted write changes nothing more") {
   memory_table table;
   const std::string first = Try(table, 1);
--- a/packages/core/include/tarragondrift/core/membership_base.h
+++ b/packages/core/include/tarragondrift/core/membership_base.h
@@ -95,6 +95,8 @@
   instant next_beat;
   instant next_far_beat;
   std::map<incarnation, peer> peers;
+  /// The highest configuration version heard, of forgotten peers too.
+  uint64_t highest_config = 0;
   /// What this entry last said of itself.
   entry_stage stage = entry_stage::kServing;
   uint64_t announced_config = 0;
--- a/packages/core/src/membership_cmd.cc
+++ b/packages/core/src/membership_cmd.cc
@@ -55,6 +55,7 @@
       std::max(known.last.config_version, beat.config_version);
   known.last = beat;
   known.last.config_version = version;
+  state.highest_config = std::max(state.highest_config, version);
   known.last.relayed.clear();
   known.heard = now;
   known.ever_heard = true;
@@ -425,11 +426,7 @@
 }
 
 uint64_t HighestPeerConfig(const membership& state) {
-  uint64_t highest = 0;
-  for (const auto& [who, other] : state.peers) {
-    highest = std::max(highest, other.last.config_version);
-  }
-  return highest;
+  return state.highest_config;
 }
 
 }  // namespace tarragondrift
