--- /dev/null
+++ b/packages/core/src/burn_cmd.cc
@@ -0,0 +1,206 @@
+#include "tarragondrift/core/burn_cmd.h"
+
+#include <algorithm>
+#include <set>
+#include <utility>
+
+namespace tarragondrift {
+namespace {
+
+constexpr double kPercent = 100.0;
+
+int64_t BucketOf(wall_second when) {
+  return when.time_since_epoch() / kBurnBucket;
+}
+
+/// The first bucket of a window that ends now. The running bucket counts in
+/// addition, so that a window never sees less than its length.
+int64_t FirstBucket(wall_second now, std::chrono::seconds length) {
+  return BucketOf(now) - length / kBurnBucket;
+}
+
+void Add(burn_count& sum, const burn_count& count) {
+  sum.answers += count.answers;
+  sum.missed += count.missed;
+}
+
+/// Joins two copies of the counts of one life.
+void JoinCopies(burn_counts& joined, const burn_counts& copy) {
+  for (const auto& [number, bucket] : copy.buckets) {
+    for (const auto& [key, count] : bucket) {
+      burn_count& known = joined.buckets[number][key];
+      if (count.answers > known.answers) {
+        known = count;
+      }
+    }
+  }
+}
+
+/// Tells whether a row of counts belongs to a row of the report, whose team is
+/// empty when it stands for all of them.
+bool Belongs(const burn_key& key, const std::string& contract,
+             const std::string& team) {
+  return key.contract == contract && (team.empty() || key.team == team);
+}
+
+/// Adds up a row of the report over a window.
+burn_count CountWindow(const burn_counts& counts, const std::string& contract,
+                       const std::string& team, wall_second now,
+                       std::chrono::seconds length) {
+  burn_count sum;
+  const auto first = counts.buckets.lower_bound(FirstBucket(now, length));
+  const auto end = counts.buckets.upper_bound(BucketOf(now));
+  for (auto at = first; at != end; ++at) {
+    for (const auto& [key, count] : at->second) {
+      if (Belongs(key, contract, team)) {
+        Add(sum, count);
+      }
+    }
+  }
+  return sum;
+}
+
+/// Part of the answers missed, over the part that the objective allows.
+double BurnRate(const burn_count& count, double objective_percent) {
+  if (count.answers == 0) {
+    return 0;
+  }
+  const double missed =
+      static_cast<double>(count.missed) / static_cast<double>(count.answers);
+  return missed / (1.0 - objective_percent / kPercent);
+}
+
+burn_window MakeWindow(const burn_counts& counts, const burn_row& row,
+                       wall_second now, std::chrono::seconds length) {
+  burn_window window{.length = length};
+  window.count = CountWindow(counts, row.contract, row.team, now, length);
+  window.rate = BurnRate(window.count, row.objective_percent);
+  return window;
+}
+
+burn_alert MakeAlert(const burn_counts& counts, const burn_row& row,
+                     wall_second now, const burn_pair& pair) {
+  burn_alert alert{
+      .long_window = MakeWindow(counts, row, now, pair.long_window),
+      .short_window = MakeWindow(counts, row, now, pair.short_window),
+      .threshold = pair.threshold};
+  alert.firing = alert.long_window.rate >= pair.threshold &&
+                 alert.short_window.rate >= pair.threshold;
+  return alert;
+}
+
+burn_row MakeRow(const burn_counts& counts, const burn_objective& objective,
+                 const std::string& team, wall_second now) {
+  burn_row row{.contract = objective.contract,
+               .team = team,
+               .objective_percent = objective.percent,
+               .objective_latency = objective.latency};
+  row.count = CountWindow(counts, row.contract, team, now, kBurnHistory);
+  row.budget_left = 1.0 - BurnRate(row.count, objective.percent);
+  for (size_t place = 0; place < kBurnPairs.size(); ++place) {
+    row.alerts[place] = MakeAlert(counts, row, now, kBurnPairs[place]);
+  }
+  return row;
+}
+
+/// Lists the teams that used a contract.
+std::set<std::string> ListTeams(const burn_counts& counts,
+                                const std::string& contract) {
+  std::set<std::string> teams;
+  for (const auto& [number, bucket] : counts.buckets) {
+    for (const auto& [key, count] : bucket) {
+      if (key.contract == contract) {
+        teams.insert(key.team);
+      }
+    }
+  }
+  return teams;
+}
+
+/// Tells whether a code is the caller's own doing.
+bool IsCallersDoing(result_code code) {
+  constexpr uint16_t kRequestFirst = 100;
+  constexpr uint16_t kRequestEnd = 200;
+  const auto number = static_cast<uint16_t>(code);
+  return (number >= kRequestFirst && number < kRequestEnd) ||
+         code == result_code::kNotRunCancelled ||
+         code == result_code::kCancelledAfterStart ||
+         code == result_code::kNotRunQuota;
+}
+
+}  // namespace
+
+burn_verdict JudgeAnswer(const contract_config& contract, result_code code,
+                         std::chrono::microseconds response_time) {
+  if (IsCallersDoing(code)) {
+    return burn_verdict::kIgnored;
+  }
+  const bool met =
+      code == result_code::kOk && response_time <= contract.objective_latency;
+  return met ? burn_verdict::kMet : burn_verdict::kMissed;
+}
+
+void CountAnswer(burn_counts& counts, const contract_config& contract,
+                 const std::string& team, result_code code,
+                 std::chrono::microseconds response_time, wall_second now) {
+  const burn_verdict verdict = JudgeAnswer(contract, code, response_time);
+  if (verdict == burn_verdict::kIgnored) {
+    return;
+  }
+  const int64_t number = BucketOf(now);
+  if (!counts.buckets.contains(number)) {
+    ForgetOldBurn(counts, now);
+  }
+  burn_count& count =
+      counts.buckets[number][burn_key{.contract = contract.name, .team = team}];
+  ++count.answers;
+  count.missed += verdict == burn_verdict::kMissed ? 1 : 0;
+}
+
+void ForgetOldBurn(burn_counts& counts, wall_second now) {
+  counts.buckets.erase(
+      counts.buckets.begin(),
+      counts.buckets.lower_bound(FirstBucket(now, kBurnHistory)));
+}
+
+void AddBurn(burn_counts& sum, const burn_counts& counts) {
+  for (const auto& [number, bucket] : counts.buckets) {
+    burn_bucket& into = sum.buckets[number];
+    for (const auto& [key, count] : bucket) {
+      Add(into[key], count);
+    }
+  }
+}
+
+std::vector<burn_objective> ListObjectives(const config_document& config) {
+  std::vector<burn_objective> objectives;
+  for (const contract_config& contract : config.contracts) {
+    objectives.push_back(burn_objective{.contract = contract.name,
+                                        .percent = contract.objective_percent,
+                                        .latency = contract.objective_latency});
+  }
+  return objectives;
+}
+
+burn_report BurnReport(std::span<const burn_source> sources,
+                       std::span<const burn_objective> objectives,
+                       wall_second now) {
+  std::map<uint64_t, burn_counts> lives;
+  for (const burn_source& source : sources) {
+    JoinCopies(lives[source.incarnation], source.counts);
+  }
+  burn_counts sum;
+  for (const auto& [incarnation, counts] : lives) {
+    AddBurn(sum, counts);
+  }
+  burn_report report{.at = now, .sources = lives.size()};
+  for (const burn_objective& objective : objectives) {
+    report.rows.push_back(MakeRow(sum, objective, "", now));
+    for (const std::string& team : ListTeams(sum, objective.contract)) {
+      report.rows.push_back(MakeRow(sum, objective, team, now));
+    }
+  }
+  return report;
+}
+
+}  // namespace tarragondrift
--- /dev/null
+++ b/packages/core/test/burn_test.cc
@@ -0,0 +1,114 @@
+#include <array>
+#include <catch2/catch.hpp>
+
+#include "tarragondrift/core/burn_cmd.h"
+
+namespace tarragondrift {
+namespace {
+
+using namespace std::chrono_literals;  // NOLINT: literals only
+
+const contract_config kQuote{
+    .name = "quote", .objective_percent = 99.0, .objective_latency = 800ms};
+constexpr wall_second kNow{1'700'000'000s};
+
+/// Counts answers on time and late ones at a moment.
+void CountMany(burn_counts& counts, const std::string& team, int on_time,
+               int late, wall_second when) {
+  for (int number = 0; number < on_time; ++number) {
+    CountAnswer(counts, kQuote, team, result_code::kOk, 700ms, when);
+  }
+  for (int number = 0; number < late; ++number) {
+    CountAnswer(counts, kQuote, team, result_code::kOk, 900ms, when);
+  }
+}
+
+burn_report Report(const std::vector<burn_source>& sources) {
+  const std::array objectives = {
+      burn_objective{.contract = "quote", .percent = 99.0, .latency = 800ms}};
+  return BurnReport(sources, objectives, kNow);
+}
+
+TEST_CASE("Late, failed and refused answers miss; the caller's doing is not") {
+  CHECK(JudgeAnswer(kQuote, result_code::kOk, 800ms) == burn_verdict::kMet);
+  CHECK(JudgeAnswer(kQuote, result_code::kOk, 801ms) == burn_verdict::kMissed);
+  for (const result_code code :
+       {result_code::kTaskFailed, result_code::kNotRunOverloaded,
+        result_code::kOutcomeUnknown}) {
+    CHECK(JudgeAnswer(kQuote, code, 1ms) == burn_verdict::kMissed);
+  }
+  for (const result_code code :
+       {result_code::kMalformedRequest, result_code::kNotRunCancelled,
+        result_code::kNotRunQuota}) {
+    CHECK(JudgeAnswer(kQuote, code, 1ms) == burn_verdict::kIgnored);
+  }
+}
+
+TEST_CASE("The rate is the part missed over the part that may be") {
+  burn_source entry{.incarnation = 1};
+  CountMany(entry.counts, "sales", 95, 5, kNow);
+  const burn_row row = Report({entry}).rows.at(0);
+  CHECK(row.team.empty());
+  CHECK(row.count == burn_count{.answers = 100, .missed = 5});
+  CHECK(row.alerts[0].short_window.rate == Approx(5.0));
+  CHECK(row.budget_left == Approx(-4.0));
+}
+
+TEST_CASE("An alert holds only while both windows of a pair burn") {
+  burn_source entry{.incarnation = 1};
+  SECTION("a burst that is over") {
+    CountMany(entry.counts, "sales", 50, 50, kNow - 40min);
+    CountMany(entry.counts, "sales", 100, 0, kNow);
+    const burn_alert fast = Report({entry}).rows.at(0).alerts[0];
+    CHECK(fast.long_window.rate > fast.threshold);
+    CHECK_FALSE(fast.firing);
+  }
+  SECTION("a burst that lasts") {
+    CountMany(entry.counts, "sales", 50, 50, kNow - 40min);
+    CountMany(entry.counts, "sales", 50, 50, kNow);
+    CHECK(Report({entry}).rows.at(0).alerts[0].firing);
+  }
+  SECTION("a slow burn") {
+    CountMany(entry.counts, "sales", 92, 8, kNow - 3h);
+    CountMany(entry.counts, "sales", 92, 8, kNow - 10min);
+    const burn_row row = Report({entry}).rows.at(0);
+    CHECK_FALSE(row.alerts[0].firing);
+    CHECK(row.alerts[1].firing);
+  }
+}
+
+TEST_CASE("Counts add up across entries, and each team has its row") {
+  burn_source one{.incarnation = 1};
+  burn_source two{.incarnation = 2};
+  CountMany(one.counts, "sales", 10, 0, kNow);
+  CountMany(two.counts, "clerks", 5, 5, kNow);
+  const burn_report report = Report({one, two});
+  CHECK(report.sources == 2);
+  REQUIRE(report.rows.size() == 3);
+  CHECK(report.rows[0].count == burn_count{.answers = 20, .missed = 5});
+  CHECK(report.rows[1].team == "clerks");
+  CHECK(report.rows[1].count.missed == 5);
+  CHECK(report.rows[2].count.missed == 0);
+}
+
+TEST_CASE("Copies of one life count once, the later one holds") {
+  burn_source flushed{.incarnation = 1};
+  CountMany(flushed.counts, "sales", 10, 1, kNow - 10min);
+  burn_source live = flushed;
+  CountMany(live.counts, "sales", 4, 0, kNow);
+  CHECK(Report({live, flushed}).rows.at(0).count.answers == 15);
+  CHECK(Report({flushed}).rows.at(0).count.answers == 11);
+}
+
+TEST_CASE("Buckets beyond the history are forgotten") {
+  burn_counts counts;
+  for (auto age = 24h; age >= 0h; age -= 1h) {
+    CountMany(counts, "sales", 1, 0, kNow - age);
+  }
+  CHECK(counts.buckets.size() == 7);
+  ForgetOldBurn(counts, kNow + 48h);
+  CHECK(counts.buckets.empty());
+}
+
+}  // namespace
+}  // namespace tarragondrift
