--- a/packages/core/include/tarragondrift/core/burn_base.h
+++ b/packages/core/include/tarragondrift/core/burn_base.h
@@ -50,6 +50,9 @@
 /// same counts are added once however often they come.
 struct burn_source {
   uint64_t incarnation = 0;
+  /// False for the summary that an entry leaves in the table: its rows have no
+  /// team, and it counts only when no other source of that life is there.
+  bool by_team = true;
   burn_counts counts;
 };
 
--- a/packages/core/include/tarragondrift/core/burn_cmd.h
+++ b/packages/core/include/tarragondrift/core/burn_cmd.h
@@ -34,6 +34,9 @@
 /// Adds counts to a sum.
 void AddBurn(burn_counts& sum, const burn_counts& counts);
 
+/// Adds the teams of each contract up into one row without a team.
+burn_counts SumOverTeams(const burn_counts& counts);
+
 /// Lists the objectives of a document.
 std::vector<burn_objective> ListObjectives(const config_document& config);
 
--- a/packages/core/src/burn_cmd.cc
+++ b/packages/core/src/burn_cmd.cc
@@ -109,7 +109,7 @@
   std::set<std::string> teams;
   for (const auto& [number, bucket] : counts.buckets) {
     for (const auto& [key, count] : bucket) {
-      if (key.contract == contract) {
+      if (key.contract == contract && !key.team.empty()) {
         teams.insert(key.team);
       }
     }
@@ -172,6 +172,16 @@
   }
 }
 
+burn_counts SumOverTeams(const burn_counts& counts) {
+  burn_counts sum;
+  for (const auto& [number, bucket] : counts.buckets) {
+    for (const auto& [key, count] : bucket) {
+      Add(sum.buckets[number][burn_key{.contract = key.contract}], count);
+    }
+  }
+  return sum;
+}
+
 std::vector<burn_objective> ListObjectives(const config_document& config) {
   std::vector<burn_objective> objectives;
   for (const contract_config& contract : config.contracts) {
@@ -185,8 +195,17 @@
 burn_report BurnReport(std::span<const burn_source> sources,
                        std::span<const burn_objective> objectives,
                        wall_second now) {
+  std::set<uint64_t> known_by_team;
+  for (const burn_source& source : sources) {
+    if (source.by_team) {
+      known_by_team.insert(source.incarnation);
+    }
+  }
   std::map<uint64_t, burn_counts> lives;
   for (const burn_source& source : sources) {
+    if (!source.by_team && known_by_team.contains(source.incarnation)) {
+      continue;
+    }
     JoinCopies(lives[source.incarnation], source.counts);
   }
   burn_counts sum;
--- a/packages/core/test/burn_test.cc
+++ b/packages/core/test/burn_test.cc
@@ -100,6 +100,17 @@
   CHECK(Report({flushed}).rows.at(0).count.answers == 11);
 }
 
+TEST_CASE("A summary counts only for a life that is not there itself") {
+  burn_source live{.incarnation = 1};
+  CountMany(live.counts, "sales", 10, 1, kNow);
+  const burn_source summary{
+      .incarnation = 1, .by_team = false, .counts = SumOverTeams(live.counts)};
+  CHECK(Report({live, summary}).rows.at(0).count.answers == 11);
+  const burn_report alone = Report({summary});
+  REQUIRE(alone.rows.size() == 1);
+  CHECK(alone.rows[0].count.missed == 1);
+}
+
 TEST_CASE("Buckets beyond the history are forgotten") {
   burn_counts counts;
   for (auto age = 24h; age >= 0h; age -= 1h) {
