--- /dev/null
+++ b/packages/gate/test/closing_server.h
@@ -0,0 +1,81 @@
+// A server for tests that counts the requests it read and closes a kept
+// connection after reading a chosen one.
+#ifndef TARRAGONDRIFT_GATE_TEST_CLOSING_SERVER_H_
+#define TARRAGONDRIFT_GATE_TEST_CLOSING_SERVER_H_
+
+#include <arpa/inet.h>
+#include <sys/socket.h>
+#include <unistd.h>
+
+#include <atomic>
+#include <string>
+#include <thread>
+
+namespace tarragondrift {
+
+/// Serves one connection after the other.
+class closing_server {
+ public:
+  /// @param answered how many requests get an answer before one gets none.
+  explicit closing_server(int answered) : answered_(answered) {
+    listener_ = socket(AF_INET, SOCK_STREAM, 0);
+    sockaddr_in address{};
+    address.sin_family = AF_INET;
+    address.sin_addr.s_addr = htonl(INADDR_LOOPBACK);
+    auto* const generic = reinterpret_cast<sockaddr*>(&address);  // NOLINT
+    bind(listener_, generic, sizeof(address));
+    socklen_t length = sizeof(address);
+    getsockname(listener_, generic, &length);
+    port_ = ntohs(address.sin_port);
+    listen(listener_, 8);
+    thread_ = std::thread([this] { Loop(); });
+  }
+  closing_server(const closing_server&) = delete;
+  closing_server& operator=(const closing_server&) = delete;
+  ~closing_server() {
+    shutdown(listener_, SHUT_RDWR);
+    thread_.join();
+    close(listener_);
+  }
+
+  std::string Address() const { return "127.0.0.1:" + std::to_string(port_); }
+  int Requests() const { return requests_.load(); }
+  int Connections() const { return connections_.load(); }
+
+ private:
+  void Loop() {
+    for (int fd = accept(listener_, nullptr, nullptr); fd >= 0;
+         fd = accept(listener_, nullptr, nullptr)) {
+      connections_.fetch_add(1);
+      while (ReadRequest(fd) && requests_.load() <= answered_) {
+        const std::string answer =
+            "HTTP/1.1 200 OK\r\nContent-Length: 2\r\n\r\nok";
+        send(fd, answer.data(), answer.size(), MSG_NOSIGNAL);
+      }
+      close(fd);
+    }
+  }
+
+  /// Reads up to the body's last byte, which tests make a '#'.
+  bool ReadRequest(int fd) {
+    char one = 0;
+    while (recv(fd, &one, 1, 0) == 1) {
+      if (one == '#') {
+        requests_.fetch_add(1);
+        return true;
+      }
+    }
+    return false;
+  }
+
+  int answered_;
+  int listener_ = -1;
+  uint16_t port_ = 0;
+  std::atomic<int> requests_{0};
+  std::atomic<int> connections_{0};
+  std::thread thread_;
+};
+
+}  // namespace tarragondrift
+
+#endif  // TARRAGONDRIFT_GATE_TEST_CLOSING_SERVER_H_
