--- a/packages/daemon/src/main.cc
+++ b/packages/daemon/src/main.cc
@@ -57,7 +57,7 @@
 /// Stops gracefully: until nothing is left, a second signal, or the limit.
 void Stop(process& entry, mailbox<wake>& wakes,
           std::chrono::milliseconds limit) {
-  log_event(log_level::kInfo, "draining");
+  log_event(log_level::kInfo, "draining").With("limit_ms", limit.count());
   entry.BeginDrain([&wakes](std::optional<incarnation> successor) {
     wakes.Push({.successor = successor});
   });
--- a/packages/daemon/src/metrics.h
+++ b/packages/daemon/src/metrics.h
@@ -57,7 +57,7 @@
   /// Counts an answer by its code.
   void CountAnswer(const job_answer& answer);
 
-  message_counts& messages() { return messages_; }
+  message_counts& Messages() { return messages_; }
 
   /// Writes everything in the Prometheus text format.
   std::string Render(const engine_status& status,
--- a/packages/daemon/src/outside.cc
+++ b/packages/daemon/src/outside.cc
@@ -26,22 +26,22 @@
 }
 
 void outside::Claim(claim_key claim) {
-  counts_.messages().platform.fetch_add(1);
+  counts_.Messages().platform.fetch_add(1);
   store_.Claim(std::move(claim));
 }
 
 void outside::Record(record_intent record) {
-  counts_.messages().platform.fetch_add(1);
+  counts_.Messages().platform.fetch_add(1);
   store_.Record(record);
 }
 
 void outside::Fence(fence_intent asked) {
-  counts_.messages().platform.fetch_add(1);
+  counts_.Messages().platform.fetch_add(1);
   store_.Fence(asked);
 }
 
 void outside::ClaimInterval(claim_interval claim) {
-  counts_.messages().platform.fetch_add(1);
+  counts_.Messages().platform.fetch_add(1);
   store_.Claim(claim);
 }
 
@@ -67,7 +67,7 @@
         forward_ended_event{.sent = call.sent, .outcome = place.outcome});
     return;
   }
-  counts_.messages().peers.fetch_add(1);
+  counts_.Messages().peers.fetch_add(1);
   peers_->Submit(place.address, call.sent.request->id, *call.content, call.wait,
                  [this, sent = call.sent](result<submission_reply> reply) {
                    forward_ended_event event{.sent = sent};
@@ -90,7 +90,7 @@
                                     : result_code::kOwnerUnreachable));
     return;
   }
-  counts_.messages().peers.fetch_add(1);
+  counts_.Messages().peers.fetch_add(1);
   peers_->Await(
       place.address, call.id, call.wait,
       [end, call](result<submission_reply> reply) {
@@ -107,7 +107,7 @@
     done(gone ? result_code::kOwnerGone : result_code::kOwnerUnreachable);
     return;
   }
-  counts_.messages().peers.fetch_add(1);
+  counts_.Messages().peers.fetch_add(1);
   peers_->Cancel(
       place.address, id, [done = std::move(done)](const result<void>& ended) {
         const bool lost =
@@ -117,7 +117,7 @@
 }
 
 void outside::HandOver(hand_over handed, const std::string& address) {
-  counts_.messages().peers.fetch_add(1);
+  counts_.Messages().peers.fetch_add(1);
   peers_->HandOver(address, handed, [this](result<incarnation> successor) {
     // An entry that stops itself takes nothing and names nobody.
     const bool accepted = successor && successor.value().value != 0;
@@ -128,7 +128,7 @@
 }
 
 void outside::Beat(beat_target target) {
-  counts_.messages().peers.fetch_add(1);
+  counts_.Messages().peers.fetch_add(1);
   peers_->Beat(target.address, target.message, [](result<beat_reply>) {});
 }
 
--- a/packages/daemon/src/platform_poller.cc
+++ b/packages/daemon/src/platform_poller.cc
@@ -27,7 +27,7 @@
   entry_row row = options_.self;
   row.stopped = true;
   row.successor = successor;
-  counts_.messages().platform.fetch_add(1);
+  counts_.Messages().platform.fetch_add(1);
   return WriteEntryRow(table_, options_.environment, row);
 }
 
@@ -50,14 +50,14 @@
 
 void platform_poller::PollConfig() {
   const result<environment> where = ParseEnvironment(options_.environment);
-  counts_.messages().platform.fetch_add(1);
+  counts_.Messages().platform.fetch_add(1);
   const result<config_head> head = ReadHead(table_, where.value());
   Note("config", head.has_value());
   if (!head || head.value().version == 0 ||
       (config_ != nullptr && head.value().version <= config_->version)) {
     return;
   }
-  counts_.messages().platform.fetch_add(1);
+  counts_.Messages().platform.fetch_add(1);
   const result<std::string> text = ReadDocument(table_, head.value().digest);
   if (!text) {
     log_event(log_level::kError, "config_not_loaded")
@@ -110,13 +110,13 @@
 void platform_poller::PollEntries() {
   const instant now = Now();
   if (now >= next_row_) {
-    counts_.messages().platform.fetch_add(1);
+    counts_.Messages().platform.fetch_add(1);
     const bool written =
         WriteEntryRow(table_, options_.environment, options_.self).has_value();
     Note("entry_row", written);
     next_row_ = written ? now + kEntryRowInterval : now;
   }
-  counts_.messages().platform.fetch_add(1);
+  counts_.Messages().platform.fetch_add(1);
   const auto before = entries_.load();
   auto read = ReadEntryRows(table_, options_.environment, *before, now);
   Note("entries", read.has_value());
@@ -148,7 +148,7 @@
 }
 
 void platform_poller::PollUpstream(const std::string& upstream) {
-  counts_.messages().platform.fetch_add(1);
+  counts_.Messages().platform.fetch_add(1);
   const auto listed = instances_.List(upstream, options_.self.data_centre);
   Note("instances", listed.has_value());
   if (!listed) {
--- a/packages/link/src/peer_client.cc
+++ b/packages/link/src/peer_client.cc
@@ -19,6 +19,8 @@
 
 /// Bytes of one message.
 constexpr int kMostMessageBytes = 64 << 20;
+/// Shortest pause before a lost connection is tried again.
+constexpr int kShortestReconnectMilliseconds = 100;
 /// Longest pause before a lost connection is tried again.
 constexpr int kLongestReconnectMilliseconds = 1'000;
 
@@ -191,6 +193,10 @@
     if (stub == nullptr) {
       grpc::ChannelArguments arguments;
       arguments.SetMaxReceiveMessageSize(kMostMessageBytes);
+      arguments.SetInt(GRPC_ARG_INITIAL_RECONNECT_BACKOFF_MS,
+                       kShortestReconnectMilliseconds);
+      arguments.SetInt(GRPC_ARG_MIN_RECONNECT_BACKOFF_MS,
+                       kShortestReconnectMilliseconds);
       arguments.SetInt(GRPC_ARG_MAX_RECONNECT_BACKOFF_MS,
                        kLongestReconnectMilliseconds);
       // A call is never sent twice by the library.
--- a/packages/link/test/peer_test.cc
+++ b/packages/link/test/peer_test.cc
@@ -1,6 +1,11 @@
+#include <arpa/inet.h>
+#include <sys/socket.h>
+#include <unistd.h>
+
 #include <catch2/catch.hpp>
 #include <future>
 #include <memory>
+#include <string>
 
 #include "tarragondrift/link/peer_client.h"
 #include "tarragondrift/link/peer_server.h"
@@ -10,7 +15,21 @@
 
 using namespace std::chrono_literals;  // NOLINT: literals only
 
-constexpr const char* kAddress = "127.0.0.1:18971";
+/// Finds an address that nobody listens on.
+std::string FreeAddress() {
+  const int probe = socket(AF_INET, SOCK_STREAM, 0);
+  sockaddr_in address{};
+  address.sin_family = AF_INET;
+  address.sin_addr.s_addr = htonl(INADDR_LOOPBACK);
+  auto* const generic = reinterpret_cast<sockaddr*>(&address);  // NOLINT
+  bind(probe, generic, sizeof(address));
+  socklen_t length = sizeof(address);
+  getsockname(probe, generic, &length);
+  close(probe);
+  return "127.0.0.1:" + std::to_string(ntohs(address.sin_port));
+}
+
+const std::string kAddress = FreeAddress();
 
 /// An entry that answers each submission with its own content.
 class echo_entry : public submission_port, public peer_handler {
