Key intervals are an option; retries spend the retry budget; cancels counted

Cause: a daemon that does not claim intervals would have refused every key that carries an issue time; off by default, such keys are claimed like others. The hook for a retry budget gave way to the budget that the dispatcher has.

--- a/packages/bench/safety/host.cc
+++ b/packages/bench/safety/host.cc
@@ -312,6 +312,7 @@
           .remembered_sequences = all.evicting ? 64U : 4'096U,
           .most_tickets_at_once = 16,
           .most_handed_at_once = 4,
+          .use_key_intervals = true,
           .broken_for_test = all.options.broken,
           .dispatch = {.seed = all.random()}};
 }
@@ -355,6 +356,8 @@
   host->data_centre = data_centre;
   host->core = MakeEntry(MakeOptions(all, data_centre));
   host->core.keys.options = {.interval_length = 1'000ms, .shards = 2};
+  // Retries are there to be tried, so the budget starts full.
+  host->core.dispatch.retries.saved = host->core.dispatch.retries.most;
   ApplyEntryConfig(host->core, MakeConfig());
   for (uint32_t at = 0; at < all.upstreams.size(); ++at) {
     if (all.upstreams[at].data_centre == data_centre) {
--- a/packages/bench/safety/intervals.cc
+++ b/packages/bench/safety/intervals.cc
@@ -43,6 +43,7 @@
   auto started = std::make_unique<entry>(MakeEntry({.data_centre = 1,
                                                     .self = {run.random()},
                                                     .remembered_sequences = 1,
+                                                    .use_key_intervals = true,
                                                     .dispatch = {}}));
   started->keys.options.interval_length = run.length;
   run.live.push_back(std::move(started));
--- a/packages/bench/safety/sizes.cc
+++ b/packages/bench/safety/sizes.cc
@@ -3,8 +3,10 @@
 #include <malloc.h>
 
 #include <chrono>
+#include <cstdlib>
 #include <ctime>
 #include <memory>
+#include <new>
 #include <string>
 #include <vector>
 
@@ -12,6 +14,27 @@
 #include "tarragondrift/core/dispatch_cmd.h"
 #include "tarragondrift/core/entry_cmd.h"
 
+namespace {
+
+/// Allocations of this thread, counted by the operator below.
+thread_local uint64_t allocations = 0;
+
+}  // namespace
+
+void* operator new(size_t bytes) {
+  ++allocations;
+  if (void* const memory = std::malloc(bytes)) {
+    return memory;
+  }
+  throw std::bad_alloc();
+}
+
+void operator delete(void* memory) noexcept { std::free(memory); }
+
+void operator delete(void* memory, size_t /*bytes*/) noexcept {
+  std::free(memory);
+}
+
 namespace tarragondrift::bench {
 namespace {
 
@@ -104,9 +127,14 @@
                           std::to_string(state.kept.bytes / kJobs)});
 }
 
+/// What a wave of cancels cost, for each task.
+struct cancel_cost {
+  double processor_s = 0;
+  double allocations = 0;
+};
+
 /// Cancels so many queued tasks, all at once.
-/// @return processor seconds for each task.
-double CancelWave(size_t tasks) {
+cancel_cost CancelWave(size_t tasks) {
   constexpr size_t kTasksEach = 100;
   entry state = MakeEntryWithSlots(0);
   std::vector<submission_id> ids;
@@ -118,11 +146,14 @@
         SubmitJob(state, std::move(request), {job}, instant{}, out));
   }
   const auto begin = ProcessorTime();
+  const uint64_t allocated = allocations;
   for (const submission_id& id : ids) {
     actions cancelled;
     static_cast<void>(CancelJob(state, id, instant{}, cancelled));
   }
-  return (ProcessorTime() - begin).count() / static_cast<double>(tasks);
+  const auto each = static_cast<double>(tasks);
+  return {.processor_s = (ProcessorTime() - begin).count() / each,
+          .allocations = static_cast<double>(allocations - allocated) / each};
 }
 
 }  // namespace
@@ -133,11 +164,17 @@
   PrintBytes(kSmallJob);
   PrintBytes(kLargeJob);
   for (const size_t tasks : {1'000U, 10'000U, 100'000U}) {
+    const cancel_cost cost = CancelWave(tasks);
+    const std::string context = "wave_tasks=" + std::to_string(tasks);
     PrintFigure({.name = "cancel_cpu_per_task_s",
-                 .value = CancelWave(tasks),
+                 .value = cost.processor_s,
                  .kind = bound_kind::kNone,
                  .unit = "s",
-                 .context = "wave_tasks=" + std::to_string(tasks)});
+                 .context = context});
+    PrintFigure({.name = "cancel_allocations_per_task",
+                 .value = cost.allocations,
+                 .kind = bound_kind::kNone,
+                 .context = context});
   }
 }
 
--- a/packages/core/include/tarragondrift/core/entry_base.h
+++ b/packages/core/include/tarragondrift/core/entry_base.h
@@ -68,6 +68,10 @@
   size_t most_handed_bytes = 1U << 20U;
   /// Idempotency keys that go to a successor with their intervals.
   size_t most_handed_keys = 20'000;
+  /// Keys that carry their issue time belong to key intervals, in place of
+  /// being claimed one by one. The same at all entries and for ever: two
+  /// entries that differ could both run a key.
+  bool use_key_intervals = false;
   /// Only tests and the safety bench set it.
   broken_rule broken_for_test = broken_rule::kNone;
   dispatch_options dispatch;
@@ -286,10 +290,6 @@
   size_t operator()(const task_ref& task) const;
 };
 
-/// Tells whether an idempotent single request may be sent again now; a retry
-/// budget takes a token here. Without one, only the attempts are limited.
-using retry_hook = std::function<bool(const placement& failed, instant now)>;
-
 /// All that one entry's decisions depend on.
 struct entry {
   entry_options options;
@@ -308,7 +308,6 @@
   dispatcher dispatch;
   /// Attempts that hold a slot, also those of jobs that were given up.
   std::unordered_map<task_ref, placement, task_ref_hash> running;
-  retry_hook allow_retry;
 };
 
 }  // namespace tarragondrift
--- a/packages/core/src/job_cmd.cc
+++ b/packages/core/src/job_cmd.cc
@@ -104,17 +104,16 @@
              : result_code::kRefusedForNow;
 }
 
-/// Tells whether a task can be sent again after its outcome was lost.
-bool MayRetry(const entry& state, const job& owner, const placement& failed,
-              instant now) {
+/// Tells whether a task can be sent again after its outcome was lost, and
+/// spends from the retry budget if so.
+bool MayRetry(entry& state, const job& owner, const placement& failed) {
   if (state.options.broken_for_test == broken_rule::kStartAfterLostReply) {
     return true;
   }
   const job_task& task = owner.tasks[failed.task.task.number];
   const bool allowed = owner.terms.idempotent && owner.tasks.size() == 1 &&
                        task.attempts < owner.terms.most_attempts;
-  return allowed &&
-         (state.allow_retry == nullptr || state.allow_retry(failed, now));
+  return allowed && TakeRetry(state.dispatch);
 }
 
 /// Asks for the start of one placed task.
@@ -207,7 +206,7 @@
       break;
     case attempt_outcome::kUnknown:
       task.outcome_lost = true;
-      if (MayRetry(state, owner, placed, now)) {
+      if (MayRetry(state, owner, placed)) {
         Requeue(state, task, placed, now);
         break;
       }
--- a/packages/core/src/key_owner_cmd.cc
+++ b/packages/core/src/key_owner_cmd.cc
@@ -224,6 +224,9 @@
 
 void ClaimIntervals(entry& state, std::span<const incarnation> live,
                     std::chrono::milliseconds epoch_time, actions& out) {
+  if (!state.options.use_key_intervals) {
+    return;
+  }
   const key_owner_options& options = state.keys.options;
   const auto current =
       static_cast<uint64_t>(epoch_time / options.interval_length);
--- a/packages/core/src/submission_cmd.cc
+++ b/packages/core/src/submission_cmd.cc
@@ -206,7 +206,10 @@
 /// Takes a submission from a caller or from another entry.
 result<submission_id> Submit(entry& state, arrival coming, actions& out) {
   const job_request& request = coming.request;
-  if (const auto key = ParseIssuedKey(request.idempotency_key)) {
+  const auto key = state.options.use_key_intervals
+                       ? ParseIssuedKey(request.idempotency_key)
+                       : std::nullopt;
+  if (key.has_value()) {
     const key_interval interval = IntervalOf(state.keys.options, *key);
     return SubmitIssuedKey(state, std::move(coming), interval, out);
   }
--- a/packages/core/test/job_test.cc
+++ b/packages/core/test/job_test.cc
@@ -103,6 +103,7 @@
 
 TEST_CASE("only an idempotent single request is sent again") {
   entry state = MakeServingEntry(7);
+  state.dispatch.retries.saved = 10;
   SECTION("within its attempts") {
     const auto first =
         Select<start_task>(Submit(state, MakeRequest(1, kBalance)));
@@ -112,7 +113,7 @@
           result_code::kTaskOutcomeUnknown);
   }
   SECTION("if the retry budget allows") {
-    state.allow_retry = [](const placement&, instant) { return false; };
+    state.dispatch.retries.saved = 0;
     const auto first =
         Select<start_task>(Submit(state, MakeRequest(1, kBalance)));
     CHECK(OnlyCode(End(state, first[0], kUnknown)) ==
--- a/packages/core/test/key_owner_test.cc
+++ b/packages/core/test/key_owner_test.cc
@@ -15,6 +15,22 @@
 constexpr size_t kLastDigits = 30;
 constexpr auto kUuidTime = std::chrono::milliseconds(1'645'557'742'000);
 
+/// An entry that uses key intervals.
+entry MakeIntervalEntry(uint64_t self) {
+  return MakeServingEntry(
+      entry_options{.self = {self}, .use_key_intervals = true});
+}
+
+TEST_CASE("without key intervals every key is claimed by itself") {
+  entry state = MakeServingEntry(7);
+  auto request = MakeRequest(1);
+  request.idempotency_key = "0001:" + kUuid;
+  CHECK(Select<claim_key>(Submit(state, request)).size() == 1);
+  actions out;
+  ClaimIntervals(state, {}, kUuidTime, out);
+  CHECK(out.empty());
+}
+
 TEST_CASE("a key tells its home and issue time, in one spelling") {
   const auto uuid = ParseIssuedKey("0001:" + kUuid);
   REQUIRE(uuid.has_value());
@@ -35,7 +51,7 @@
 }
 
 TEST_CASE("a key of an owned interval runs once without a store call") {
-  entry state = MakeServingEntry(7);
+  entry state = MakeIntervalEntry(7);
   auto request = MakeRequest(1);
   request.idempotency_key = "0001:" + kUuid;
   const actions ungranted = Submit(state, request);
@@ -96,8 +112,8 @@
 }
 
 TEST_CASE("a planned stop hands key intervals to one heir") {
-  entry state = MakeServingEntry(7);
-  entry heir = MakeServingEntry(8);
+  entry state = MakeIntervalEntry(7);
+  entry heir = MakeIntervalEntry(8);
   auto request = MakeRequest(1);
   request.idempotency_key = "0001:" + kUuid;
   const auto interval =
@@ -149,7 +165,7 @@
   const std::array<incarnation, 3> live{{{7}, {8}, {9}}};
   std::map<key_interval, int> claims;
   for (const incarnation self : live) {
-    entry state = MakeServingEntry(self.value);
+    entry state = MakeIntervalEntry(self.value);
     actions out;
     ClaimIntervals(state, live, kUuidTime, out);
     for (const auto& claim : Select<claim_interval>(out)) {
