--- a/packages/bench/safety/caller.cc
+++ b/packages/bench/safety/caller.cc
@@ -234,11 +234,14 @@
     if (host->core.options.self != id->owner) {
       continue;
     }
-    Send(all, kCallers, host->self, copies::kMaybeTwo, [&all, host, id] {
-      actions out;
-      static_cast<void>(CancelJob(host->core, *id, all.events.now, out));
-      Execute(all, *host, out);
-    });
+    Send(all, kCallers, host->self, copies::kMaybeTwo,
+         [&all, host, id, number] {
+           actions out;
+           if (CancelJob(host->core, *id, all.events.now, out)) {
+             SeeCancel(all.seen, number, all.events.now);
+           }
+           Execute(all, *host, out);
+         });
   }
 }
 
--- a/packages/bench/safety/ledger.cc
+++ b/packages/bench/safety/ledger.cc
@@ -5,6 +5,9 @@
 namespace tarragondrift::bench {
 namespace {
 
+/// The longest that a message is on its way.
+constexpr auto kLongestOnItsWay = std::chrono::milliseconds(900);
+
 /// Tells whether an answer has a part of what belongs to a whole one.
 bool IsPartial(const wanted_work& work, const job_answer& answer) {
   const auto has_body = [](const task_answer& task) {
@@ -43,10 +46,18 @@
 
 std::string MakeBody(const std::string& payload) { return "ran " + payload; }
 
-void SeeStart(ledger& seen, const std::string& payload) {
+void SeeStart(ledger& seen, const std::string& payload, instant now) {
   const size_t slash = payload.find('/');
   wanted_work& work = seen.work.at(std::stoul(payload.substr(0, slash)));
   ++work.starts.at(std::stoul(payload.substr(slash + 1)));
+  const bool late =
+      work.cancelled.has_value() && now > *work.cancelled + kLongestOnItsWay;
+  work.starts_after_cancel += late ? 1 : 0;
+}
+
+void SeeCancel(ledger& seen, uint32_t caller, instant now) {
+  wanted_work& work = seen.work.at(caller);
+  work.cancelled = work.cancelled.value_or(now);
 }
 
 void SeeAnswer(ledger& seen, uint32_t caller, const job_answer& answer) {
@@ -73,6 +84,7 @@
       found.false_not_run += starts > 0 && work.told_not_started[task] ? 1 : 0;
     }
     found.false_not_run += work.told_not_run && any_started ? 1 : 0;
+    found.false_not_run += work.starts_after_cancel;
     found.partial_answers += work.partial;
     found.crossed_answers += work.crossed;
   }
--- a/packages/bench/safety/ledger.h
+++ b/packages/bench/safety/ledger.h
@@ -3,6 +3,7 @@
 #define TARRAGONDRIFT_BENCH_SAFETY_LEDGER_H_
 
 #include <cstdint>
+#include <optional>
 #include <string>
 #include <vector>
 
@@ -19,6 +20,9 @@
   /// Tasks that some answer called not started.
   std::vector<bool> told_not_started;
   bool told_not_run = false;
+  /// When a cancel was first confirmed.
+  std::optional<instant> cancelled;
+  uint32_t starts_after_cancel = 0;
   uint32_t partial = 0;
   uint32_t crossed = 0;
 };
@@ -44,7 +48,11 @@
 std::string MakeBody(const std::string& payload);
 
 /// Notes that an upstream started a task.
-void SeeStart(ledger& seen, const std::string& payload);
+void SeeStart(ledger& seen, const std::string& payload, instant now);
+
+/// Notes that a caller's cancel was confirmed: what is not on its way to an
+/// upstream by now may not start.
+void SeeCancel(ledger& seen, uint32_t caller, instant now);
 
 /// Notes an answer that reached a caller.
 void SeeAnswer(ledger& seen, uint32_t caller, const job_answer& answer);
--- a/packages/bench/safety/upstream.cc
+++ b/packages/bench/safety/upstream.cc
@@ -50,7 +50,7 @@
     SendBack(all, taken, attempt_outcome::kRefused);
     return;
   }
-  SeeStart(all.seen, taken->asked.payload);
+  SeeStart(all.seen, taken->asked.payload, now);
   if (now < upstream.silent_until) {
     return;
   }
