--- a/packages/bench/policy/control.cc
+++ b/packages/bench/policy/control.cc
@@ -434,14 +434,14 @@
 }
 
 void SeekLoan(world& state, real_entry& entry) {
-  const uint32_t queued =
+  const uint32_t lacking =
       LoanDemand(entry.dispatch, kUpstream, state.loop.now());
-  if (queued == 0 || !state.rules.loans || entry.leaving) {
+  if (lacking == 0 || !state.rules.loans || entry.leaving) {
     return;
   }
   const auto lenders = Lenders(state, entry);
   const auto ask =
-      AskLoan(entry.slots, "plata", queued, lenders, state.loop.now());
+      AskLoan(entry.slots, "plata", lacking, lenders, state.loop.now());
   if (!ask.has_value()) {
     return;
   }
--- a/packages/core/include/tarragondrift/core/loan_cmd.h
+++ b/packages/core/include/tarragondrift/core/loan_cmd.h
@@ -42,11 +42,11 @@
   loan_return message;
 };
 
-/// Decides whom to ask for slots, when `queued` tasks of an upstream wait and
-/// this entry has no free slot.
-/// @return nothing while no peer has idle slots or a request is under way.
+/// Decides whom to ask for slots when an upstream lacks `lacking` of them; see
+/// LoanDemand. Call it after each event while slots are lacking.
+/// @return nothing when no peer has idle slots or each was asked lately.
 std::optional<loan_target> AskLoan(shares& state, const std::string& upstream,
-                                   uint32_t queued,
+                                   uint32_t lacking,
                                    std::span<const lender_view> peers,
                                    instant now);
 
--- a/packages/core/src/dispatch_cmd.cc
+++ b/packages/core/src/dispatch_cmd.cc
@@ -180,9 +180,9 @@
                     instant now) {
   open_instances& upstream = OpenOf(state, instance.upstream);
   const uint32_t after = upstream.ejected + 1;
+  const int64_t instances = upstream.instances;
   const int64_t most = std::max<int64_t>(
-      1, upstream.instances * state.options.health.most_ejected_percent /
-             kPercent);
+      1, instances * state.options.health.most_ejected_percent / kPercent);
   if (after > most) {
     Pace(instance.health, state.options.health, now);
     return;
--- a/packages/core/src/loan_cmd.cc
+++ b/packages/core/src/loan_cmd.cc
@@ -7,6 +7,8 @@
 namespace tarragondrift {
 namespace {
 
+constexpr uint32_t kPercent = 100;
+
 uint32_t SlotsAt(std::span<const loan_item> items, const std::string& address) {
   uint32_t slots = 0;
   for (const loan_item& item : items) {
@@ -159,7 +161,7 @@
 }  // namespace
 
 std::optional<loan_target> AskLoan(shares& state, const std::string& upstream,
-                                   uint32_t queued,
+                                   uint32_t lacking,
                                    std::span<const lender_view> peers,
                                    instant now) {
   const lender_view* best = nullptr;
@@ -169,18 +171,18 @@
       best = &peer;
     }
   }
-  if (best == nullptr || queued == 0) {
+  if (best == nullptr || lacking == 0) {
     return std::nullopt;
   }
+  const uint32_t wanted = std::clamp(lacking, state.options.smallest_loan,
+                                     state.options.largest_loan);
   const uint64_t number = state.next_loan++;
   state.asked[best->who] = {.number = number, .sent = now};
-  return loan_target{
-      .to = best->who,
-      .request = {.from = state.options.self,
-                  .number = number,
-                  .upstream = upstream,
-                  .wanted = std::clamp(queued, state.options.smallest_loan,
-                                       state.options.largest_loan)}};
+  return loan_target{.to = best->who,
+                     .request = {.from = state.options.self,
+                                 .number = number,
+                                 .upstream = upstream,
+                                 .wanted = wanted}};
 }
 
 loan_grant AnswerLoan(shares& state, const loan_request& request,
@@ -197,7 +199,6 @@
   for (const idle_instance& instance : idle) {
     total += instance.idle;
   }
-  constexpr uint32_t kPercent = 100;
   const uint32_t most = total * state.options.lend_percent / kPercent;
   grant.items = PickItems(idle, std::min(request.wanted, most));
   if (grant.items.empty()) {
--- a/packages/core/test/health_test.cc
+++ b/packages/core/test/health_test.cc
@@ -12,7 +12,7 @@
 using namespace std::chrono_literals;  // NOLINT: literals only
 
 constexpr upstream_id kUpstream{0, 0};
-constexpr uint32_t kInstances = 6;
+constexpr size_t kInstances = 6;
 
 dispatcher MakeMany() {
   dispatcher state = MakeDispatcher({.seed = 3});
