--- a/packages/core/test/queue_test.cc
+++ b/packages/core/test/queue_test.cc
@@ -169,6 +169,34 @@
   CHECK(TestAdmission(state, late, instant{1s}) == result_code::kOk);
 }
 
+TEST_CASE("slots are lacking only for tasks that would be late") {
+  dispatcher state = MakeOne(4);
+  CHECK(LoanDemand(state, kUpstream, instant{}) == 0);
+  // Its tasks may start until what it would take alone has passed, and own
+  // slots come free by then.
+  Enqueue(state, 1, 0, 16, 200ms, instant{});
+  CHECK(LoanDemand(state, kUpstream, instant{}) <= 4);
+  Enqueue(state, 2, 0, 40, 200ms, instant{});
+  CHECK(LoanDemand(state, kUpstream, instant{}) <= 8);
+  CHECK(LoanDemand(state, kUpstream, instant{2s}) > 20);
+}
+
+TEST_CASE("a team that is ahead waits once much waits") {
+  dispatcher state = MakeOne(1);
+  // Little waits: the small job of the team that has had more goes first.
+  Enqueue(state, 1, 0, 3, 200ms, instant{});
+  RunOne(state, instant{});
+  RunOne(state, instant{});
+  Enqueue(state, 2, 0, 1, 50ms, instant{});
+  Enqueue(state, 3, 1, 4, 200ms, instant{});
+  CHECK(RunOne(state, instant{}).job.index == 2);
+  // Much waits: teams are strictly by weight again.
+  Enqueue(state, 4, 1, 100, 200ms, instant{});
+  Enqueue(state, 5, 0, 1, 50ms, instant{});
+  const uint32_t next = RunOne(state, instant{}).job.index;
+  CHECK((next == 3 || next == 4));
+}
+
 TEST_CASE("a team over its queue limit is refused by quota") {
   dispatcher state = MakeOne(2);
   config_document config;
