--- /dev/null
+++ b/packages/daemon/src/process.cc
@@ -0,0 +1,160 @@
+#include "process.h"
+
+#include <boost/outcome/try.hpp>
+#include <random>
+#include <thread>
+#include <utility>
+
+#include "logging.h"
+#include "tarragondrift/gate/callers_api.h"
+#include "tarragondrift/gate/limits.h"
+#include "tarragondrift/platform/clients.h"
+
+namespace tarragondrift {
+namespace {
+
+constexpr uint32_t kMostOperatorConnections = 64;
+/// Time for the last answers to leave the process.
+constexpr std::chrono::milliseconds kSendLimit{2'000};
+constexpr std::chrono::milliseconds kSendPoll{10};
+
+uint64_t DrawRandom() {
+  constexpr uint32_t kHalf = 32;
+  std::random_device random;
+  return (static_cast<uint64_t>(random()) << kHalf) | random();
+}
+
+engine_options MakeEngineOptions(const settings& from, incarnation self) {
+  return {.entry = {.data_centre = from.data_centre_number,
+                    .self = self,
+                    .dispatch = {.seed = DrawRandom()}},
+          .members = {.self = self,
+                      .data_centre = from.data_centre_number,
+                      .address = from.peers}};
+}
+
+/// Logs that an address can't be listened on.
+result_code ListenFailed(const std::string& address, result_code code) {
+  log_event(log_level::kError, "listen_failed").With("address", address);
+  return code;
+}
+
+}  // namespace
+
+process::process(const settings& options)
+    : settings_(options),
+      self_{DrawRandom()},
+      table_(MakeTableClient({.base_url = options.table_url})),
+      instances_(MakeInstanceClient({.base_url = options.instances_url})),
+      engine_(MakeEngineOptions(options, self_)),
+      outside_(std::make_unique<outside>(
+          settings_, self_, engine_, *table_, metrics_,
+          [this] { return poller_->Entries(); })) {}
+
+process::~process() {
+  // Requests end first, then what they wait for.
+  callers_.reset();
+  peers_.reset();
+  operators_.reset();
+  engine_.Stop();
+  outside_.reset();
+  poller_.reset();
+}
+
+result<void> process::Start() {
+  const entry_row row{.who = self_,
+                      .data_centre = settings_.data_centre,
+                      .data_centre_number = settings_.data_centre_number,
+                      .address = settings_.peers};
+  poller_ = std::make_unique<platform_poller>(
+      platform_poller_options{.environment = settings_.environment,
+                              .interval = settings_.poll_interval,
+                              .self = row},
+      *table_, *instances_, engine_, metrics_);
+  engine_.Start(*outside_);
+  BOOST_OUTCOME_TRYV(ListenToPeers());
+  BOOST_OUTCOME_TRYV(ListenToCallers());
+  BOOST_OUTCOME_TRYV(ListenToOperators());
+  ready_.store(true);
+  return outcome::success();
+}
+
+result<void> process::ListenToPeers() {
+  peer_calls_ = std::make_unique<peer_calls>(
+      self_, engine_, [this] { return poller_->Config(); });
+  auto peers = peer_server::Start(
+      {.address = settings_.peers, .token = settings_.peer_token},
+      *peer_calls_);
+  if (!peers) {
+    return ListenFailed(settings_.peers, peers.error());
+  }
+  peers_ = std::move(peers).value();
+  return outcome::success();
+}
+
+result<void> process::ListenToCallers() {
+  auto callers =
+      http_server::Start({.address = settings_.callers,
+                          .most_connections = settings_.max_connections,
+                          .most_body_bytes = kMostBodyBytes},
+                         [this](const server_request& request) {
+                           return ServeCaller(engine_, request);
+                         });
+  if (!callers) {
+    return ListenFailed(settings_.callers, callers.error());
+  }
+  callers_ = std::move(callers).value();
+  return outcome::success();
+}
+
+result<void> process::ListenToOperators() {
+  auto operators = http_server::Start(
+      {.address = settings_.operators,
+       .most_connections = kMostOperatorConnections,
+       .most_body_bytes = kMostBodyBytes},
+      [context = MakeContext()](const server_request& request) {
+        return ServeOperator(context, request);
+      });
+  if (!operators) {
+    return ListenFailed(settings_.operators, operators.error());
+  }
+  operators_ = std::move(operators).value();
+  return outcome::success();
+}
+
+operators_context process::MakeContext() {
+  return {
+      .token = settings_.operator_token,
+      .self = self_,
+      .data_centre = settings_.data_centre,
+      .table = table_.get(),
+      .ready = [this] { return ready_.load() && engine_.Config() != nullptr; },
+      .metrics_page =
+          [this] {
+            return metrics_.Render(engine_.Status(),
+                                   outside_->UpstreamCounts());
+          },
+      .status = [this] { return engine_.Status(); },
+      .entries = [this] { return poller_->Entries(); }};
+}
+
+void process::BeginDrain(drained_callback drained) {
+  ready_.store(false);
+  engine_.Post(drain_event{std::move(drained)});
+}
+
+void process::ForceDrain() { engine_.Post(force_drain_event{}); }
+
+void process::Finish(std::optional<incarnation> successor) {
+  callers_->StopAccepting();
+  if (!poller_->WriteStopped(successor)) {
+    log_event(log_level::kWarning, "row_not_written");
+  }
+  const auto limit = std::chrono::steady_clock::now() + kSendLimit;
+  while (callers_->ActiveRequests() > 0 &&
+         std::chrono::steady_clock::now() < limit) {
+    std::this_thread::sleep_for(kSendPoll);
+  }
+}
+
+}  // namespace tarragondrift
