--- a/packages/core/include/tarragondrift/core/membership_base.h
+++ b/packages/core/include/tarragondrift/core/membership_base.h
@@ -71,17 +71,17 @@
   std::vector<std::string> seeds;
   std::chrono::milliseconds beat_interval{500};
   /// Between the speakers of two data centres.
-  std::chrono::milliseconds far_beat_interval{1'000};
+  std::chrono::milliseconds far_beat_interval{4'000};
   /// A peer that was not heard for this long is taken for gone.
   std::chrono::milliseconds silence_limit{3'000};
   /// The same for entries of other data centres, whose news is relayed in
   /// turns.
-  std::chrono::milliseconds far_silence_limit{20'000};
+  std::chrono::milliseconds far_silence_limit{30'000};
   /// Rows of slot_news in a beat; more take turns.
-  uint32_t most_slot_news = 12;
+  uint32_t most_slot_news = 6;
   /// Entries of other data centres that a beat within the data centre carries;
   /// more take turns.
-  uint32_t most_far_news = 4;
+  uint32_t most_far_news = 3;
   /// Addresses of leaving upstream instances in a beat.
   uint32_t most_leaving_news = 16;
   /// Silent entries of a data centre that are remembered for probing.
--- a/packages/core/src/membership_cmd.cc
+++ b/packages/core/src/membership_cmd.cc
@@ -16,6 +16,12 @@
   return beat.data_centre == state.options.data_centre;
 }
 
+/// How long an entry of another data centre counts as the one that speaks.
+std::chrono::milliseconds FarContactLimit(const membership& state) {
+  constexpr int kBeats = 3;
+  return kBeats * state.options.far_beat_interval;
+}
+
 /// Tells whether news of a far entry must not wait for its turn.
 bool IsUrgent(const peer& known, const heartbeat& beat) {
   return !known.ever_heard || known.last.stage != beat.stage ||
@@ -134,7 +140,7 @@
       state.peers.begin(), state.peers.end(), [&](const auto& item) {
         const peer& other = item.second;
         return other.ever_heard_directly && !IsNear(state, other.last) &&
-               now - other.heard_directly <= state.options.silence_limit;
+               now - other.heard_directly <= FarContactLimit(state);
       });
 }
 
@@ -235,9 +241,8 @@
       continue;
     }
     far_contacts& there = contacts[other.last.data_centre];
-    const bool speaks =
-        other.ever_heard_directly &&
-        now - other.heard_directly <= state.options.silence_limit;
+    const bool speaks = other.ever_heard_directly &&
+                        now - other.heard_directly <= FarContactLimit(state);
     if (speaks && (there.speaking == nullptr ||
                    there.speaking->heard_directly < other.heard_directly)) {
       there.speaking = &other;
