--- a/packages/config/test/document_text_test.cc
+++ b/packages/config/test/document_text_test.cc
@@ -2,6 +2,9 @@
 
 #include <algorithm>
 #include <catch2/catch.hpp>
+#include <filesystem>
+#include <fstream>
+#include <iterator>
 #include <string>
 
 namespace tarragondrift {
@@ -109,6 +112,19 @@
   CHECK(Lists(parsed, config_fault::kDuplicateKey, ""));
 }
 
+TEST_CASE("Every example is a valid document") {
+  size_t examples = 0;
+  for (const auto& file :
+       std::filesystem::directory_iterator("examples/config")) {
+    std::ifstream input(file.path());
+    const std::string text(std::istreambuf_iterator<char>(input), {});
+    INFO(file.path());
+    CHECK(ParseConfigDocument(text).errors.empty());
+    ++examples;
+  }
+  CHECK(examples >= 2);
+}
+
 TEST_CASE("A digest is the SHA-256 of the exact text") {
   CHECK(DigestConfigText("abc") ==
         "ba7816bf8f01cfea414140de5dae2223b00361a396177a9cb410ff61f20015ad");
