--- a/packages/core/test/queue_test.cc
+++ b/packages/core/test/queue_test.cc
@@ -172,13 +172,15 @@
 TEST_CASE("slots are lacking only for tasks that would be late") {
   dispatcher state = MakeOne(4);
   CHECK(LoanDemand(state, kUpstream, instant{}) == 0);
-  // Its tasks may start until what it would take alone has passed, and own
-  // slots come free by then.
+  // 16 tasks have to start by 1.02 x 800 ms - 200 ms, when 12 slots have come
+  // free.
   Enqueue(state, 1, 0, 16, 200ms, instant{});
-  CHECK(LoanDemand(state, kUpstream, instant{}) <= 4);
+  CHECK(LoanDemand(state, kUpstream, instant{}) == 3);
+  // With 40 more, 56 by 1.02 x 2 s - 200 ms, when 36 have.
   Enqueue(state, 2, 0, 40, 200ms, instant{});
-  CHECK(LoanDemand(state, kUpstream, instant{}) <= 8);
-  CHECK(LoanDemand(state, kUpstream, instant{2s}) > 20);
+  CHECK(LoanDemand(state, kUpstream, instant{}) == 19);
+  // Too late for all of them.
+  CHECK(LoanDemand(state, kUpstream, instant{2s}) == 56);
 }
 
 TEST_CASE("a team that is ahead waits once much waits") {
