--- a/packages/daemon/src/engine.cc
+++ b/packages/daemon/src/engine.cc
@@ -73,7 +73,9 @@
 
 void engine::Submit(job_content content, const hold_options& hold,
                     reply_callback done) {
-  submit_event event{.hold = hold, .done = std::move(done)};
+  submit_event event{.row = {content.contract, content.team},
+                     .hold = hold,
+                     .done = std::move(done)};
   if (MayGoElsewhere(content, options_.entry.self)) {
     event.content = std::make_shared<const job_content>(content);
   }
@@ -225,6 +227,9 @@
   const waiter_id waiter = Hold(event.request.id.value_or(submission_id{}),
                                 event.hold, std::move(event.done));
   held_.at(waiter.value).content = event.content;
+  if (event.hold.may_forward) {
+    held_.at(waiter.value).row = std::move(event.row);
+  }
   if (event.check != result_code::kOk) {
     AttachUnresolved(event, waiter);
     return;
@@ -408,6 +413,13 @@
       [&status](instance_id, const upstream_instance& instance) {
         status.instances.push_back(instance);
       });
+  for (const auto& [who, other] : members_.peers) {
+    status.peers.push_back({.who = who,
+                            .data_centre = other.last.data_centre,
+                            .address = other.last.address,
+                            .config_version = other.last.config_version,
+                            .reachable = IsLive(members_, other, now_)});
+  }
   event.done(std::move(status));
 }
 
@@ -426,7 +438,9 @@
 void engine::Do(start_task& wanted) { outside_->Start(std::move(wanted)); }
 
 void engine::Do(deliver_answer& wanted) {
-  outside_->Answered(*wanted.answer);
+  const auto held = held_.find(wanted.waiter.value);
+  outside_->Answered(*wanted.answer,
+                     held == held_.end() ? burn_key{} : held->second.row);
   Reply(wanted.waiter, {.id = wanted.answer->id, .answer = wanted.answer});
 }
 
--- a/packages/daemon/src/engine.h
+++ b/packages/daemon/src/engine.h
@@ -66,6 +66,8 @@
     submission_id id;
     instant expires;
     std::shared_ptr<const job_content> content;
+    /// Counted with the answer; empty for other entries' callers.
+    burn_key row;
     bool may_forward = true;
     bool forwarded = false;
     reply_callback done;
--- a/packages/daemon/src/engine_events.h
+++ b/packages/daemon/src/engine_events.h
@@ -9,6 +9,7 @@
 #include <variant>
 #include <vector>
 
+#include "tarragondrift/core/burn_base.h"
 #include "tarragondrift/core/entry_cmd.h"
 #include "tarragondrift/core/membership_cmd.h"
 #include "tarragondrift/gate/submission_port.h"
@@ -23,6 +24,8 @@
   result_code check = result_code::kOk;
   /// What to send to another entry; null when that can't be needed.
   std::shared_ptr<const job_content> content;
+  /// Its contract and team by name.
+  burn_key row;
   hold_options hold;
   reply_callback done;
 };
@@ -140,6 +143,15 @@
 /// This entry is to stop now.
 struct force_drain_event {};
 
+/// Another entry as it was last heard.
+struct peer_status {
+  incarnation who;
+  uint16_t data_centre = 0;
+  std::string address;
+  uint64_t config_version = 0;
+  bool reachable = false;
+};
+
 /// What one look at the engine shows.
 struct engine_status {
   entry_stage stage = entry_stage::kServing;
@@ -151,6 +163,8 @@
   size_t kept_answers = 0;
   size_t held_requests = 0;
   traffic_count beats_sent;
+  /// The other entries as far as they were heard.
+  std::vector<peer_status> peers;
   std::vector<upstream_instance> instances;
 };
 
--- a/packages/daemon/src/metrics.cc
+++ b/packages/daemon/src/metrics.cc
@@ -130,6 +130,20 @@
   }
 }
 
+void metrics::CountBurn(const contract_config& contract,
+                        const std::string& team, const job_answer& answer) {
+  const auto now = std::chrono::floor<std::chrono::seconds>(
+      std::chrono::system_clock::now());
+  const std::scoped_lock lock(mutex_);
+  tarragondrift::CountAnswer(burn_, contract, team, answer.code,
+                             answer.response_time, now);
+}
+
+burn_counts metrics::Burn() const {
+  const std::scoped_lock lock(mutex_);
+  return burn_;
+}
+
 std::string metrics::Render(const engine_status& status,
                             const upstream_counts& upstreams) const {
   std::string page;
--- a/packages/daemon/src/metrics.h
+++ b/packages/daemon/src/metrics.h
@@ -15,6 +15,7 @@
 #include <string>
 
 #include "engine_events.h"
+#include "tarragondrift/core/burn_cmd.h"
 #include "tarragondrift/gate/upstream_client.h"
 
 namespace tarragondrift {
@@ -57,6 +58,13 @@
   /// Counts an answer by its code.
   void CountAnswer(const job_answer& answer);
 
+  /// Counts an answer against its contract's objective.
+  void CountBurn(const contract_config& contract, const std::string& team,
+                 const job_answer& answer);
+
+  /// Gives the counts for `report burn`.
+  burn_counts Burn() const;
+
   message_counts& Messages() { return messages_; }
 
   /// Writes everything in the Prometheus text format.
@@ -67,6 +75,7 @@
   std::atomic<uint64_t> starts_{0};
   message_counts messages_;
   mutable std::mutex mutex_;
+  burn_counts burn_;
   std::map<result_code, uint64_t> answers_;
   std::map<attempt_outcome, uint64_t> ends_;
   duration_summary response_time_;
--- a/packages/daemon/src/operators_api.cc
+++ b/packages/daemon/src/operators_api.cc
@@ -1,8 +1,10 @@
 #include "operators_api.h"
 
+#include <algorithm>
 #include <nlohmann/json.hpp>
 
 #include "config_api.h"
+#include "tarragondrift/config/burn_store.h"
 #include "tarragondrift/gate/callers_api.h"
 #include "tarragondrift/gate/secret.h"
 
@@ -74,6 +76,37 @@
   return {.body = body.dump()};
 }
 
+json ConfigEntryJson(incarnation who, uint16_t data_centre,
+                     const std::string& address, uint64_t version,
+                     bool reachable) {
+  return {{"incarnation", who.value},
+          {"data_centre", data_centre},
+          {"address", address},
+          {"version", version},
+          {"reachable", reachable}};
+}
+
+/// Shows the version in force at every entry, as far as it was heard.
+server_response ServeConfigStatus(const operators_context& context) {
+  const engine_status status = context.status();
+  uint64_t accepted = status.config_version;
+  json entries = json::array();
+  entries.push_back(ConfigEntryJson(context.self, context.data_centre_number,
+                                    context.address, status.config_version,
+                                    true));
+  for (const peer_status& peer : status.peers) {
+    accepted = std::max(accepted, peer.config_version);
+    entries.push_back(ConfigEntryJson(peer.who, peer.data_centre, peer.address,
+                                      peer.config_version, peer.reachable));
+  }
+  return {.body = json{{"accepted", accepted}, {"entries", entries}}.dump()};
+}
+
+server_response ServeBurn(const operators_context& context) {
+  return {.body = FormatBurnSource(
+              {.incarnation = context.self.value, .counts = context.burn()})};
+}
+
 server_response ServeReady(const operators_context& context) {
   const bool ready = context.ready();
   return {.status = static_cast<uint16_t>(ready ? 200 : kHttpUnavailable),
@@ -100,6 +133,12 @@
   if (request.path == "/v1/status") {
     return ServeStatus(context);
   }
+  if (request.path == "/v1/config/status") {
+    return ServeConfigStatus(context);
+  }
+  if (request.path == "/v1/burn") {
+    return ServeBurn(context);
+  }
   if (request.path.starts_with(kConfigPrefix)) {
     return ServeConfig(*context.table, request);
   }
--- a/packages/daemon/src/operators_api.h
+++ b/packages/daemon/src/operators_api.h
@@ -19,11 +19,15 @@
   std::string token;
   incarnation self;
   std::string data_centre;
+  uint16_t data_centre_number = 0;
+  /// Where peers reach this entry.
+  std::string address;
   table_port* table = nullptr;
   std::function<bool()> ready;
   std::function<std::string()> metrics_page;
   std::function<engine_status()> status;
   std::function<std::shared_ptr<const entry_directory>()> entries;
+  std::function<burn_counts()> burn;
 };
 
 /// Answers one operator's request.
--- a/packages/daemon/src/outside.cc
+++ b/packages/daemon/src/outside.cc
@@ -132,8 +132,16 @@
   peers_->Beat(target.address, target.message, [](result<beat_reply>) {});
 }
 
-void outside::Answered(const job_answer& answer) {
+void outside::Answered(const job_answer& answer, const burn_key& row) {
   counts_.CountAnswer(answer);
+  const auto config = engine_.Config();
+  if (config == nullptr || row.contract.empty()) {
+    return;
+  }
+  const contract_id contract = FindContract(*config, row.contract);
+  if (contract.Valid()) {
+    counts_.CountBurn(config->contracts[contract.index], row.team, answer);
+  }
 }
 
 }  // namespace tarragondrift
--- a/packages/daemon/src/outside.h
+++ b/packages/daemon/src/outside.h
@@ -41,7 +41,7 @@
                      cancel_callback done) override;
   void HandOver(hand_over handed, const std::string& address) override;
   void Beat(beat_target target) override;
-  void Answered(const job_answer& answer) override;
+  void Answered(const job_answer& answer, const burn_key& row) override;
 
   upstream_counts UpstreamCounts() const { return upstreams_->Counts(); }
 
--- a/packages/daemon/src/outside_port.h
+++ b/packages/daemon/src/outside_port.h
@@ -6,6 +6,7 @@
 #include <memory>
 #include <string>
 
+#include "tarragondrift/core/burn_base.h"
 #include "tarragondrift/core/entry_base.h"
 #include "tarragondrift/core/membership_base.h"
 #include "tarragondrift/gate/submission_port.h"
@@ -47,7 +48,8 @@
   virtual void HandOver(hand_over handed, const std::string& address) = 0;
   virtual void Beat(beat_target target) = 0;
   /// Told of every answer that is delivered here.
-  virtual void Answered(const job_answer& answer) = 0;
+  /// @param row its contract and team; empty names when they are not known.
+  virtual void Answered(const job_answer& answer, const burn_key& row) = 0;
 };
 
 }  // namespace tarragondrift
--- a/packages/daemon/src/process.cc
+++ b/packages/daemon/src/process.cc
@@ -127,6 +127,8 @@
       .token = settings_.operator_token,
       .self = self_,
       .data_centre = settings_.data_centre,
+      .data_centre_number = settings_.data_centre_number,
+      .address = settings_.peers,
       .table = table_.get(),
       .ready = [this] { return ready_.load() && engine_.Config() != nullptr; },
       .metrics_page =
@@ -135,7 +137,8 @@
                                    outside_->UpstreamCounts());
           },
       .status = [this] { return engine_.Status(); },
-      .entries = [this] { return poller_->Entries(); }};
+      .entries = [this] { return poller_->Entries(); },
+      .burn = [this] { return metrics_.Burn(); }};
 }
 
 void process::BeginDrain(drained_callback drained) {
