A summary of burn keeps within the size of a row

256 contracts would have made a row of about 1.5 MB; the oldest buckets are now left out beyond 256 KiB. A test with 1,000 contracts shows it.

--- a/packages/config/src/burn_store.cc
+++ b/packages/config/src/burn_store.cc
@@ -12,6 +12,9 @@
 using nlohmann::json;
 using nlohmann::ordered_json;
 
+/// Longest summary, in bytes; beyond, the oldest buckets are left out.
+constexpr size_t kMostSummaryBytes = 256U << 10U;
+
 std::string BurnPrefix() { return "burn/"; }
 
 json FormatCounts(const burn_counts& counts) {
@@ -104,12 +107,17 @@
 }
 
 result<void> FlushBurn(table_port& table, const burn_source& source) {
-  const burn_source summary{.incarnation = source.incarnation,
-                            .by_team = false,
-                            .counts = SumOverTeams(source.counts)};
+  burn_source summary{.incarnation = source.incarnation,
+                      .by_team = false,
+                      .counts = SumOverTeams(source.counts)};
+  std::string text = FormatBurnSource(summary);
+  while (text.size() > kMostSummaryBytes && summary.counts.buckets.size() > 1) {
+    summary.counts.buckets.erase(summary.counts.buckets.begin());
+    text = FormatBurnSource(summary);
+  }
   return table.Write(
       {table_write{.key = BurnPrefix() + std::to_string(source.incarnation),
-                   .value = FormatBurnSource(summary)}});
+                   .value = std::move(text)}});
 }
 
 result<std::vector<burn_source>> ReadFlushedBurn(table_port& table,
--- a/packages/config/test/burn_store_test.cc
+++ b/packages/config/test/burn_store_test.cc
@@ -47,5 +47,22 @@
   CHECK(table.List("burn/").assume_value().size() == 1);
 }
 
+TEST_CASE("A summary keeps within its size, the latest buckets first") {
+  memory_table table;
+  burn_source source{.incarnation = 1};
+  for (auto age = 5h; age >= 0h; age -= 1h) {
+    for (int number = 0; number < 1'000; ++number) {
+      CountAnswer(source.counts, {.name = "c" + std::to_string(number)}, "t",
+                  result_code::kOk, 1ms, kNow - age);
+    }
+  }
+  REQUIRE(FlushBurn(table, source).has_value());
+  CHECK(table.Get("burn/1").assume_value().value.size() <= 256U << 10U);
+  const auto sources = ReadFlushedBurn(table, kNow).assume_value();
+  CHECK(sources.at(0).counts.buckets.size() < 6);
+  CHECK(sources.at(0).counts.buckets.rbegin()->first ==
+        source.counts.buckets.rbegin()->first);
+}
+
 }  // namespace
 }  // namespace tarragondrift
