--- a/packages/config/include/tarragondrift/config/document_text.h
+++ b/packages/config/include/tarragondrift/config/document_text.h
@@ -32,6 +32,8 @@
   kBadName = 9,
   kUnsupportedSchema = 10,
   kTooManyElements = 11,
+  /// It contradicts the document in force.
+  kContradiction = 12,
 };
 
 /// One error of a document.
--- a/packages/config/src/config_store.cc
+++ b/packages/config/src/config_store.cc
@@ -220,6 +220,48 @@
   return ReportConflict(next);
 }
 
+/// Lists the contracts that would be recorded under the next document and are
+/// not now, or the other way round. Whether nothing was run is proved by the
+/// absence of a record, so what a name means must not change.
+std::vector<config_error> ListChangedRecording(const config_document& now,
+                                               const config_document& next) {
+  std::vector<config_error> errors;
+  for (size_t place = 0; place < next.contracts.size(); ++place) {
+    const contract_config& wanted = next.contracts[place];
+    const contract_id known = FindContract(now, wanted.name);
+    if (!known.Valid() ||
+        now.contracts[known.index].recorded == wanted.recorded) {
+      continue;
+    }
+    errors.push_back(config_error{
+        .fault = config_fault::kContradiction,
+        .path = "/contracts/" + std::to_string(place) + "/recorded",
+        .detail = "cannot change for contract '" + wanted.name +
+                  "'; give the contract another name"});
+  }
+  return errors;
+}
+
+/// Tests a document against the one that it would replace.
+/// @return kOk with no errors when it may replace it.
+change_outcome TestReplacement(table_port& table, const config_head& latest,
+                               const std::string& text) {
+  if (latest.version == 0) {
+    return Refuse(result_code::kOk);
+  }
+  const result<config_document> now = LoadDocument(table, latest);
+  if (now.has_error()) {
+    return Refuse(now.assume_error());
+  }
+  const parsed_config next = ParseConfigDocument(text);
+  change_outcome tested{.code = result_code::kOk};
+  tested.errors = ListChangedRecording(now.assume_value(), next.document);
+  if (!tested.errors.empty()) {
+    tested.code = result_code::kConfigInvalid;
+  }
+  return tested;
+}
+
 /// Carries out a change of one environment by compare-and-set on its head.
 change_outcome ChangeHead(table_port& table, environment where,
                           const std::string& text, const std::string& digest,
@@ -240,6 +282,14 @@
   if (latest.digest == digest) {
     return ReportAccepted(latest, latest, false);
   }
+  change_outcome tested = TestReplacement(table, latest, text);
+  if (tested.code == result_code::kConfigInvalid) {
+    return tested;
+  }
+  if (tested.code != result_code::kOk) {
+    return Refuse(change.repeated ? result_code::kConfigOutcomeUnknown
+                                  : tested.code);
+  }
   return CommitChange(
       table, proposal{.where = where,
                       .base = base.assume_value(),
--- a/packages/config/src/document_text.cc
+++ b/packages/config/src/document_text.cc
@@ -220,6 +220,8 @@
       return "unsupported_schema";
     case config_fault::kTooManyElements:
       return "too_many_elements";
+    case config_fault::kContradiction:
+      return "contradiction";
   }
   return "unknown";
 }
--- a/packages/config/test/config_store_test.cc
+++ b/packages/config/test/config_store_test.cc
@@ -55,6 +55,21 @@
   CHECK(loaded.digest == digest);
 }
 
+TEST_CASE("A contract's recording never changes under its name") {
+  memory_table table;
+  REQUIRE(Try(table, 1).size() == 64);
+  std::string recorded = MakeText(2);
+  const std::string name = R"({"name": "quote")";
+  recorded.insert(recorded.find(name) + name.size(), R"(, "recorded": true)");
+  const change_outcome refused =
+      TryDocument(table, recorded, By("ana", "recorded"));
+  CHECK(refused.code == result_code::kConfigInvalid);
+  REQUIRE(refused.errors.size() == 1);
+  CHECK(refused.errors[0].fault == config_fault::kContradiction);
+  CHECK(refused.errors[0].path == "/contracts/0/recorded");
+  CHECK(ReadHead(table, environment::kTrial).assume_value().version == 1);
+}
+
 TEST_CASE("Only tried digests and valid documents get in") {
   memory_table table;
   CHECK(PromoteDocument(table, std::string(64, 'a'), By("ana", "p")).code ==
--- a/packages/core/include/tarragondrift/core/record_group_base.h
+++ b/packages/core/include/tarragondrift/core/record_group_base.h
@@ -18,7 +18,7 @@
 /// Options of group commit; the budget is the same at all entries.
 struct record_group_options {
   /// Writes a second of all entries together for records of starts.
-  uint32_t writes_per_s = 250;
+  uint32_t writes_per_s = 150;
   /// Rows of one write.
   size_t most_rows = 100;
 };
--- a/packages/core/include/tarragondrift/core/retry_base.h
+++ b/packages/core/include/tarragondrift/core/retry_base.h
@@ -10,7 +10,7 @@
   double earned_per_start = 0.08;
   /// Most that can be saved up.
   double most = 20;
-  double saved = 0;
+  double saved = 20;
 };
 
 }  // namespace tarragondrift
--- a/packages/core/src/job_cmd.cc
+++ b/packages/core/src/job_cmd.cc
@@ -185,6 +185,23 @@
   RequeueTask(state.dispatch, placed.task, now);
 }
 
+/// Places a refused task again, or gives its job up when the budget of repeated
+/// attempts is spent. What a leaving instance refuses costs no budget: nothing
+/// more goes there.
+void EndRefused(entry& state, job& owner, const placement& placed, bool leaving,
+                instant now, actions& out) {
+  job_task& task = owner.tasks[placed.task.task.number];
+  if (leaving || TakeRetry(state.dispatch)) {
+    Requeue(state, task, placed, now);
+    return;
+  }
+  task.state = task_state::kQueued;
+  FailJob(state, placed.task.task.job,
+          owner.started > 0 ? result_code::kTaskFailed
+                            : result_code::kNotRunNoInstance,
+          now, out);
+}
+
 /// Takes the end of an attempt into its job.
 void EndTask(entry& state, job& owner, const placement& placed,
              attempt_result ended, instant now, actions& out) {
@@ -215,7 +232,7 @@
       break;
     case attempt_outcome::kRefused:
       --owner.started;
-      Requeue(state, task, placed, now);
+      EndRefused(state, owner, placed, ended.leaving, now, out);
       break;
   }
 }
--- a/packages/core/src/submission_cmd.cc
+++ b/packages/core/src/submission_cmd.cc
@@ -23,12 +23,26 @@
   instant now;
 };
 
+/// Makes the refusal of a request, with the time when its work may fit.
+job_answer_ptr MakeTimedRefusal(const entry& state, const arrival& coming,
+                                result_code code) {
+  const bool passes = code == result_code::kNotRunOverloaded ||
+                      code == result_code::kNotRunQuota ||
+                      code == result_code::kRefusedForNow;
+  return std::make_shared<const job_answer>(job_answer{
+      .id = coming.request.id.value_or(submission_id{}),
+      .code = code,
+      .retry_after =
+          passes ? RetryAfter(state.dispatch, coming.request, coming.now)
+                 : state.options.retry_after});
+}
+
 /// Delivers a refusal that no later request depends on.
 result_code Refuse(const entry& state, const arrival& coming, result_code code,
                    actions& out) {
-  const submission_id id = coming.request.id.value_or(submission_id{});
-  out.emplace_back(deliver_answer{.waiter = coming.waiter,
-                                  .answer = MakeRefusal(state, id, code)});
+  out.emplace_back(
+      deliver_answer{.waiter = coming.waiter,
+                     .answer = MakeTimedRefusal(state, coming, code)});
   return code;
 }
 
@@ -44,7 +58,7 @@
     return Refuse(state, coming, code, out);
   }
   const submission_id id = *coming.request.id;
-  const job_answer_ptr answer = MakeRefusal(state, id, code);
+  const job_answer_ptr answer = MakeTimedRefusal(state, coming, code);
   MarkUsed(state.kept.window, id.sequence);
   KeepRefusal(state, id,
               submission{.digest = coming.request.digest, .answer = answer});
--- a/packages/core/test/job_test.cc
+++ b/packages/core/test/job_test.cc
@@ -101,6 +101,24 @@
   CHECK(OnlyCode(out) == result_code::kNotRunCancelled);
 }
 
+TEST_CASE("a refused task ends its job once the retry budget is spent") {
+  entry state = MakeServingEntry(7);
+  state.dispatch.retries.saved = 0;
+  state.dispatch.retries.earned_per_start = 0;
+  SECTION("before any start nothing was run") {
+    const auto starts = Select<start_task>(Submit(state, MakeRequest(1)));
+    const actions ended = End(state, starts[0], kRefused);
+    CHECK(Select<start_task>(ended).empty());
+    CHECK(OnlyCode(ended) == result_code::kNotRunNoInstance);
+  }
+  SECTION("after a start the job failed") {
+    const auto starts = Select<start_task>(Submit(state, MakeRequest(2)));
+    REQUIRE(starts.size() == 2);
+    CHECK(OnlyCode(End(state, starts[0], kRefused)) ==
+          result_code::kTaskFailed);
+  }
+}
+
 TEST_CASE("only an idempotent single request is sent again") {
   entry state = MakeServingEntry(7);
   state.dispatch.retries.saved = 10;
