report burn uses the shared burn counts and reports

The tool had a burn_window of its own beside the core's, in the same namespace; it now reads each entry's counts by the config package and works the rates out by the core.

--- a/packages/tool/src/burn_report.cc
+++ b/packages/tool/src/burn_report.cc
@@ -1,101 +1,76 @@
 #include "burn_report.h"
 
 #include <iomanip>
-#include <map>
 #include <sstream>
-#include <utility>
 
 namespace tarragondrift {
 namespace {
 
-using nlohmann::json;
+constexpr int kNameWidth = 20;
+constexpr int kNumberWidth = 12;
 
-constexpr double kPercent = 100;
-
-}  // namespace
-
-std::vector<burn_window> ReadBurn(const json& body) {
-  std::vector<burn_window> counts;
-  if (!body.is_object() || !body.contains("contracts")) {
-    return counts;
-  }
-  for (const json& contract : body.at("contracts")) {
-    for (const json& window : contract.value("windows", json::array())) {
-      counts.push_back(
-          {.contract = contract.value("name", ""),
-           .window = window.value("window", ""),
-           .objective_percent = contract.value("objective_percent", 0.0),
-           .answers = window.value("answers", uint64_t{0}),
-           .missed = window.value("missed", uint64_t{0})});
-    }
+/// Writes a window's length, such as "5m" or "6h".
+std::string FormatLength(std::chrono::seconds length) {
+  const auto hours = std::chrono::duration_cast<std::chrono::hours>(length);
+  if (hours == length) {
+    return std::to_string(hours.count()) + "h";
   }
-  return counts;
+  const auto minutes = std::chrono::duration_cast<std::chrono::minutes>(length);
+  return std::to_string(minutes.count()) + "m";
 }
 
-std::vector<burn_window> SumBurn(const std::vector<burn_window>& counts) {
-  std::map<std::pair<std::string, std::string>, size_t> positions;
-  std::vector<burn_window> sums;
-  for (const burn_window& count : counts) {
-    const auto [position, added] =
-        positions.try_emplace({count.contract, count.window}, sums.size());
-    if (added) {
-      sums.push_back(count);
-      continue;
-    }
-    sums[position->second].answers += count.answers;
-    sums[position->second].missed += count.missed;
-  }
-  return sums;
+/// Writes one pair of windows, marked while its alert holds.
+std::string FormatAlert(const burn_alert& alert) {
+  std::ostringstream text;
+  text << std::setprecision(3) << FormatLength(alert.long_window.length) << "/"
+       << FormatLength(alert.short_window.length) << " "
+       << alert.long_window.rate << "/" << alert.short_window.rate
+       << (alert.firing ? " FIRING" : "");
+  return text.str();
 }
 
-double BurnRate(const burn_window& counts) {
-  const double budget = 1 - counts.objective_percent / kPercent;
-  if (counts.answers == 0 || budget <= 0) {
-    return 0;
-  }
-  const double missed =
-      static_cast<double>(counts.missed) / static_cast<double>(counts.answers);
-  return missed / budget;
+/// Writes one line of gnuplot's data.
+void AppendData(std::ostream& text, const burn_row& row,
+                const burn_window& window) {
+  text << '"' << row.contract << ' ' << FormatLength(window.length) << "\" "
+       << window.rate << '\n';
 }
 
-std::string FormatBurnTable(const std::vector<burn_window>& counts) {
-  constexpr int kNameWidth = 20;
-  constexpr int kNumberWidth = 12;
+}  // namespace
+
+std::string FormatBurnTable(const burn_report& report) {
   std::ostringstream text;
   text << std::left << std::setw(kNameWidth) << "contract"
-       << std::setw(kNumberWidth) << "window" << std::right
+       << std::setw(kNameWidth) << "team" << std::right
        << std::setw(kNumberWidth) << "objective" << std::setw(kNumberWidth)
        << "answers" << std::setw(kNumberWidth) << "missed"
-       << std::setw(kNumberWidth) << "burn rate" << '\n';
-  for (const burn_window& count : counts) {
-    text << std::left << std::setw(kNameWidth) << count.contract
-         << std::setw(kNumberWidth) << count.window << std::right
-         << std::setw(kNumberWidth) << count.objective_percent
-         << std::setw(kNumberWidth) << count.answers << std::setw(kNumberWidth)
-         << count.missed << std::setw(kNumberWidth) << std::setprecision(3)
-         << BurnRate(count) << '\n';
+       << std::setw(kNumberWidth) << "budget left"
+       << "  burn rates\n";
+  for (const burn_row& row : report.rows) {
+    text << std::left << std::setw(kNameWidth) << row.contract
+         << std::setw(kNameWidth) << (row.team.empty() ? "(all)" : row.team)
+         << std::right << std::setprecision(4) << std::setw(kNumberWidth)
+         << row.objective_percent << std::setw(kNumberWidth)
+         << row.count.answers << std::setw(kNumberWidth) << row.count.missed
+         << std::setw(kNumberWidth) << row.budget_left;
+    for (const burn_alert& alert : row.alerts) {
+      text << "  " << FormatAlert(alert);
+    }
+    text << '\n';
   }
   return text.str();
 }
 
-json FormatBurnJson(const std::vector<burn_window>& counts) {
-  json rows = json::array();
-  for (const burn_window& count : counts) {
-    rows.push_back({{"contract", count.contract},
-                    {"window", count.window},
-                    {"objective_percent", count.objective_percent},
-                    {"answers", count.answers},
-                    {"missed", count.missed},
-                    {"burn_rate", BurnRate(count)}});
-  }
-  return {{"burn", std::move(rows)}};
-}
-
-std::string FormatBurnData(const std::vector<burn_window>& counts) {
+std::string FormatBurnData(const burn_report& report) {
   std::ostringstream text;
-  for (const burn_window& count : counts) {
-    text << '"' << count.contract << ' ' << count.window << "\" "
-         << BurnRate(count) << '\n';
+  for (const burn_row& row : report.rows) {
+    if (!row.team.empty()) {
+      continue;
+    }
+    for (const burn_alert& alert : row.alerts) {
+      AppendData(text, row, alert.long_window);
+      AppendData(text, row, alert.short_window);
+    }
   }
   return text.str();
 }
--- a/packages/tool/test/operator_test.cc
+++ b/packages/tool/test/operator_test.cc
@@ -1,9 +1,12 @@
 // The operators' commands: configuration and burn.
 #include <catch2/catch.hpp>
+#include <chrono>
+#include <fstream>
+#include <iterator>
 #include <nlohmann/json.hpp>
 #include <string>
 
-#include "burn_report.h"
+#include "tarragondrift/config/burn_store.h"
 #include "tool_fixture.h"
 
 namespace tarragondrift {
@@ -101,50 +104,70 @@
   CHECK(run.out.find("add /new is true\n") != std::string::npos);
 }
 
-TEST_CASE("burn is summed over entries and compared with the budget") {
-  const json body = {
-      {"contracts",
-       {{{"name", "quote"},
-         {"objective_percent", 99.0},
-         {"windows", {{{"window", "5m"}, {"answers", 100}, {"missed", 2}}}}}}}};
-  const auto once = ReadBurn(body);
-  REQUIRE(once.size() == 1);
-  CHECK(BurnRate(once[0]) == Approx(2.0));
-  const auto twice = SumBurn({once[0],
-                              {.contract = "quote",
-                               .window = "5m",
-                               .objective_percent = 99.0,
-                               .answers = 300}});
-  REQUIRE(twice.size() == 1);
-  CHECK(twice[0].answers == 400);
-  CHECK(BurnRate(twice[0]) == Approx(0.5));
-  CHECK(BurnRate({.objective_percent = 99.0}) == 0);
+namespace {
+
+/// Gives the document in force and one entry's counts of the current bucket.
+fake_handler BurnOf(uint64_t life, uint64_t answers, uint64_t missed) {
+  return [=](const fake_request& request) -> fake_reply {
+    if (request.path == "/v1/config/document") {
+      std::ifstream file("examples/config/demo.json");
+      const std::string text{std::istreambuf_iterator<char>(file), {}};
+      return {.body = json{{"document", text}}.dump()};
+    }
+    const auto now = std::chrono::time_point_cast<std::chrono::seconds>(
+        std::chrono::system_clock::now());
+    burn_source source{.incarnation = life};
+    source.counts.buckets[now.time_since_epoch() / kBurnBucket]
+                         [{.contract = "quote", .team = "sales"}] = {
+        .answers = answers, .missed = missed};
+    return {.body = FormatBurnSource(source)};
+  };
 }
 
-TEST_CASE("report burn prints text or JSON and writes its plot") {
-  const json body = {
-      {"contracts",
-       {{{"name", "quote"},
-         {"objective_percent", 99.0},
-         {"windows", {{{"window", "5m"}, {"answers", 100}, {"missed", 1}}}}}}}};
-  scripted_entry entry(Always({.body = body.dump()}));
+}  // namespace
+
+TEST_CASE("report burn sums the entries and compares with the budget") {
+  scripted_entry first(BurnOf(1, 100, 2));
+  scripted_entry second(BurnOf(2, 300, 0));
+  const tool_run run =
+      Run({"report", "burn", "--json", "--operator",
+           first.server.Address() + "," + second.server.Address()});
+  CHECK(run.code == 0);
+  const json report = json::parse(run.out);
+  CHECK(report.at("sources") == 2);
+  bool found = false;
+  for (const json& row : report.at("rows")) {
+    if (row.at("contract") == "quote" && row.at("team") == "") {
+      found = true;
+      CHECK(row.at("answers") == 400);
+      CHECK(row.at("missed") == 2);
+      CHECK(row.at("alerts").at(0).at("long").at("rate").get<double>() ==
+            Approx(0.5));
+    }
+  }
+  CHECK(found);
+}
+
+TEST_CASE("report burn prints text and writes its plot") {
+  scripted_entry entry(BurnOf(1, 100, 1));
   const std::string address = entry.server.Address();
   const tool_run text = Run({"report", "burn", "--operator", address, "--plot",
                              "build/tool_test_burn"});
   CHECK(text.code == 0);
   CHECK(text.out.find("quote") != std::string::npos);
   std::ifstream data("build/tool_test_burn.dat");
-  std::string line;
-  std::getline(data, line);
-  CHECK(line == "\"quote 5m\" 1");
-  const tool_run scripts =
-      Run({"report", "burn", "--json", "--operator", address});
-  CHECK(json::parse(scripts.out).at("burn").at(0).at("burn_rate") ==
-        Approx(1.0));
-  const tool_run part = Run(
-      {"report", "burn", "--operator", address, "--operator", "127.0.0.1:1"});
+  const std::string lines{std::istreambuf_iterator<char>(data), {}};
+  CHECK(lines.find("\"quote 1h\" 1\n") != std::string::npos);
+  CHECK(std::ifstream("build/tool_test_burn.gp").good());
+}
+
+TEST_CASE("report burn goes on without an entry that is away") {
+  scripted_entry entry(BurnOf(1, 100, 1));
+  const tool_run part = Run({"report", "burn", "--operator",
+                             entry.server.Address() + ",127.0.0.1:1"});
   CHECK(part.code == 5);
   CHECK(part.out.find("quote") != std::string::npos);
+  CHECK(part.err.find("error 700") != std::string::npos);
 }
 
 }  // namespace tarragondrift
