--- a/packages/tool/test/operator_test.cc
+++ b/packages/tool/test/operator_test.cc
@@ -137,7 +137,8 @@
   CHECK(report.at("sources") == 2);
   bool found = false;
   for (const json& row : report.at("rows")) {
-    if (row.at("contract") == "quote" && row.at("team") == "") {
+    if (row.at("contract") == "quote" &&
+        row.at("team").get<std::string>().empty()) {
       found = true;
       CHECK(row.at("answers") == 400);
       CHECK(row.at("missed") == 2);
