--- a/packages/daemon/src/engine.cc
+++ b/packages/daemon/src/engine.cc
@@ -6,7 +6,6 @@
 
 #include "clock.h"
 #include "tarragondrift/core/dispatch_cmd.h"
-#include "tarragondrift/core/share_cmd.h"
 
 namespace tarragondrift {
 namespace {
@@ -42,8 +41,7 @@
 engine::engine(const engine_options& options)
     : options_(options),
       state_(MakeEntry(options.entry)),
-      members_(MakeMembership(options.members)),
-      shares_(MakeShares({.self = options.entry.self})) {}
+      members_(MakeMembership(options.members)) {}
 
 engine::~engine() { Stop(); }
 
@@ -148,7 +146,6 @@
   TickEntry(state_, now_, actions_);
   TickPeers();
   TickKeys();
-  TickOwnShares();
   RetryHandover();
   DoAll();
 }
@@ -162,9 +159,6 @@
   if (state_.stage != entry_stage::kDrained && !alone) {
     return;
   }
-  if (!forced_ && !alone && !HasLeftShares(shares_)) {
-    return;
-  }
   const incarnation successor = state_.handover.successor;
   std::exchange(drained_, nullptr)(
       successor.value == 0 ? std::nullopt : std::optional(successor));
@@ -374,7 +368,6 @@
 void engine::Handle(config_event& event) {
   if (ApplyEntryConfig(state_, event.document)) {
     config_.store(state_.config);
-    LearnLongestRunning();
   }
 }
 
@@ -388,16 +381,11 @@
   }
   for (upstream_instance& listed : event.instances) {
     listed.upstream = upstream;
-    instance_slots_[listed.address] = std::exchange(listed.share, 0);
-    instance_id id = FindInstance(state_.dispatch, listed.address);
-    if (!id.Valid()) {
-      id = SetInstance(state_.dispatch, listed);
-    }
+    const instance_id id = SetInstance(state_.dispatch, listed);
     if (listed.leaving) {
       MarkLeaving(state_.dispatch, id, now_);
     }
   }
-  ApplyShares();
 }
 
 void engine::Handle(drain_event& event) {
@@ -406,7 +394,6 @@
 }
 
 void engine::Handle(force_drain_event& /*event*/) {
-  forced_ = true;
   ForceDrain(state_, now_, actions_);
 }
 
--- a/packages/daemon/src/engine.h
+++ b/packages/daemon/src/engine.h
@@ -16,7 +16,6 @@
 #include "outside_port.h"
 #include "tarragondrift/core/entry_cmd.h"
 #include "tarragondrift/core/membership_cmd.h"
-#include "tarragondrift/core/share_base.h"
 
 namespace tarragondrift {
 
@@ -50,9 +49,6 @@
     return config_.load();
   }
 
-  /// Tells whether this entry may use its slot shares now.
-  bool MayUseSlots() const { return may_use_slots_.load(); }
-
   /// Looks at the engine; blocks for one turn of its thread.
   engine_status Status();
 
@@ -77,14 +73,6 @@
     reply_callback done;
   };
 
-  /// What the beats to another entry have shown of it.
-  struct share_contact {
-    /// When the latest beat that it acknowledged was sent.
-    instant acknowledged;
-    /// Another incarnation answers at its address.
-    bool replaced = false;
-  };
-
   void Loop();
   void Handle(submit_event& event);
   void Handle(await_event& event);
@@ -99,8 +87,6 @@
   void Handle(interval_ended_event& event);
   void Handle(handover_ended_event& event);
   void Handle(beat_event& event);
-  void Handle(beat_ended_event& event);
-  void Handle(share_row_event& event);
   void Handle(learn_peer_event& event);
   void Handle(config_event& event);
   void Handle(instances_event& event);
@@ -130,11 +116,6 @@
   void Tick();
   void TickPeers();
   void TickKeys();
-  void TickOwnShares();
-  std::vector<shared_instance> SharedInstances() const;
-  void UpdateSharePeers();
-  void ApplyShares();
-  void LearnLongestRunning();
   void RetryHandover();
   void TestDrained();
   heartbeat DescribeSelf() const;
@@ -147,7 +128,6 @@
   outside_port* outside_ = nullptr;
   mailbox<engine_event> mailbox_;
   std::atomic<std::shared_ptr<const config_document>> config_;
-  std::atomic<bool> may_use_slots_{false};
   std::thread thread_;
 
   // Below: the engine thread's own.
@@ -164,12 +144,6 @@
   std::optional<hand_over> handover_;
   instant next_handover_;
   drained_callback drained_;
-  bool forced_ = false;
-  shares shares_;
-  /// All slots of the data centre's instances, by address.
-  std::map<std::string, uint32_t> instance_slots_;
-  std::map<incarnation, share_contact> share_contacts_;
-  instant next_share_tick_;
 };
 
 }  // namespace tarragondrift
--- a/packages/daemon/src/engine_events.h
+++ b/packages/daemon/src/engine_events.h
@@ -12,7 +12,6 @@
 #include "tarragondrift/core/burn_base.h"
 #include "tarragondrift/core/entry_cmd.h"
 #include "tarragondrift/core/membership_cmd.h"
-#include "tarragondrift/core/share_base.h"
 #include "tarragondrift/gate/submission_port.h"
 #include "tarragondrift/link/peer_messages.h"
 
@@ -108,21 +107,6 @@
   std::function<void(beat_reply)> done;
 };
 
-/// Another entry answered a beat.
-struct beat_ended_event {
-  std::string address;
-  /// When the beat was sent.
-  instant sent;
-  beat_reply reply;
-};
-
-/// The table service gave the row of shares.
-struct share_row_event {
-  share_row_read read;
-  /// When the call to the table began.
-  instant begun;
-};
-
 /// The platform's rows name another entry.
 struct learn_peer_event {
   incarnation who;
@@ -135,8 +119,7 @@
   std::shared_ptr<const config_document> document;
 };
 
-/// All instances of one upstream that the platform lists here; the share of
-/// each is all of its slots.
+/// All instances of one upstream that the platform lists here.
 struct instances_event {
   std::string upstream;
   std::vector<upstream_instance> instances;
@@ -195,9 +178,8 @@
                  attempt_ended_event, claim_ended_event, record_ended_event,
                  forward_ended_event, await_ended_event, fence_ended_event,
                  interval_ended_event, handover_ended_event, beat_event,
-                 beat_ended_event, share_row_event, learn_peer_event,
-                 config_event, instances_event, handover_event, drain_event,
-                 force_drain_event, status_event>;
+                 learn_peer_event, config_event, instances_event,
+                 handover_event, drain_event, force_drain_event, status_event>;
 
 }  // namespace tarragondrift
 
--- a/packages/daemon/src/engine_peers.cc
+++ b/packages/daemon/src/engine_peers.cc
@@ -5,7 +5,6 @@
 
 #include "engine.h"
 #include "tarragondrift/core/dispatch_cmd.h"
-#include "tarragondrift/core/share_cmd.h"
 
 namespace tarragondrift {
 namespace {
@@ -120,8 +119,7 @@
   for (const std::string& address : event.beat.leaving) {
     MarkLeaving(state_.dispatch, FindInstance(state_.dispatch, address), now_);
   }
-  event.done({.from = options_.entry.self,
-              .supports = SupportsPeer(shares_, event.beat.from)});
+  event.done({.from = options_.entry.self, .supports = true});
 }
 
 void engine::Handle(learn_peer_event& event) {
--- a/packages/daemon/src/outside.cc
+++ b/packages/daemon/src/outside.cc
@@ -2,8 +2,6 @@
 
 #include <utility>
 
-#include "clock.h"
-
 namespace tarragondrift {
 
 outside::outside(const settings& options, incarnation self, engine& target,
@@ -11,7 +9,6 @@
     : engine_(target),
       counts_(counts),
       entries_(std::move(entries)),
-      share_key_("share/" + options.environment + "/" + options.data_centre),
       store_(table, self,
              [this](engine_event event) { engine_.Post(std::move(event)); }),
       upstreams_(upstream_client::Start(
@@ -130,22 +127,9 @@
   });
 }
 
-void outside::Share(share_wish wish) {
-  counts_.Messages().platform.fetch_add(wish.write.has_value() ? 2 : 1);
-  store_.Share({.key = share_key_, .write = std::move(wish.write)});
-}
-
 void outside::Beat(beat_target target) {
   counts_.Messages().peers.fetch_add(1);
-  peers_->Beat(
-      target.address, target.message,
-      [this, address = target.address,
-       sent = Now()](const result<beat_reply>& reply) {
-        if (reply) {
-          engine_.Post(beat_ended_event{
-              .address = address, .sent = sent, .reply = reply.value()});
-        }
-      });
+  peers_->Beat(target.address, target.message, [](result<beat_reply>) {});
 }
 
 void outside::Answered(const job_answer& answer, const burn_key& row) {
--- a/packages/daemon/src/outside.h
+++ b/packages/daemon/src/outside.h
@@ -40,7 +40,6 @@
   void ForwardCancel(const submission_id& id, const std::string& address,
                      cancel_callback done) override;
   void HandOver(hand_over handed, const std::string& address) override;
-  void Share(share_wish wish) override;
   void Beat(beat_target target) override;
   void Answered(const job_answer& answer, const burn_key& row) override;
 
@@ -62,7 +61,6 @@
   engine& engine_;
   metrics& counts_;
   directory_source entries_;
-  std::string share_key_;
   store_worker store_;
   std::unique_ptr<upstream_client> upstreams_;
   std::unique_ptr<peer_client> peers_;
--- a/packages/daemon/src/outside_port.h
+++ b/packages/daemon/src/outside_port.h
@@ -9,7 +9,6 @@
 #include "tarragondrift/core/burn_base.h"
 #include "tarragondrift/core/entry_base.h"
 #include "tarragondrift/core/membership_base.h"
-#include "tarragondrift/core/share_base.h"
 #include "tarragondrift/gate/submission_port.h"
 
 namespace tarragondrift {
@@ -47,8 +46,6 @@
   virtual void Fence(fence_intent asked) = 0;
   virtual void ClaimInterval(claim_interval claim) = 0;
   virtual void HandOver(hand_over handed, const std::string& address) = 0;
-  /// Writes the row of shares if that is wished, then reads it.
-  virtual void Share(share_wish wish) = 0;
   virtual void Beat(beat_target target) = 0;
   /// Told of every answer that is delivered here.
   /// @param row its contract and team; empty names when they are not known.
--- a/packages/daemon/src/platform_poller.cc
+++ b/packages/daemon/src/platform_poller.cc
@@ -154,10 +154,14 @@
   if (!listed) {
     return;
   }
+  const std::vector<incarnation> entries = LiveEntriesOf(
+      *Entries(), options_.self.data_centre_number, options_.self.who);
   instances_event event{.upstream = upstream};
   for (const listed_instance& one : listed.value()) {
-    event.instances.push_back(
-        {.address = one.address, .share = one.slots, .leaving = one.leaving});
+    event.instances.push_back({.address = one.address,
+                               .share = DivideSlots(entries, options_.self.who,
+                                                    one.address, one.slots),
+                               .leaving = one.leaving});
   }
   engine_.Post(std::move(event));
 }
--- a/packages/daemon/src/process.cc
+++ b/packages/daemon/src/process.cc
@@ -123,25 +123,22 @@
 }
 
 operators_context process::MakeContext() {
-  return {.token = settings_.operator_token,
-          .self = self_,
-          .data_centre = settings_.data_centre,
-          .data_centre_number = settings_.data_centre_number,
-          .address = settings_.peers,
-          .table = table_.get(),
-          .ready =
-              [this] {
-                return ready_.load() && engine_.Config() != nullptr &&
-                       engine_.MayUseSlots();
-              },
-          .metrics_page =
-              [this] {
-                return metrics_.Render(engine_.Status(),
-                                       outside_->UpstreamCounts());
-              },
-          .status = [this] { return engine_.Status(); },
-          .entries = [this] { return poller_->Entries(); },
-          .burn = [this] { return metrics_.Burn(); }};
+  return {
+      .token = settings_.operator_token,
+      .self = self_,
+      .data_centre = settings_.data_centre,
+      .data_centre_number = settings_.data_centre_number,
+      .address = settings_.peers,
+      .table = table_.get(),
+      .ready = [this] { return ready_.load() && engine_.Config() != nullptr; },
+      .metrics_page =
+          [this] {
+            return metrics_.Render(engine_.Status(),
+                                   outside_->UpstreamCounts());
+          },
+      .status = [this] { return engine_.Status(); },
+      .entries = [this] { return poller_->Entries(); },
+      .burn = [this] { return metrics_.Burn(); }};
 }
 
 void process::BeginDrain(drained_callback drained) {
--- a/packages/daemon/src/store_worker.cc
+++ b/packages/daemon/src/store_worker.cc
@@ -5,7 +5,6 @@
 
 #include "clock.h"
 #include "store_rows.h"
-#include "tarragondrift/core/share_cmd.h"
 
 namespace tarragondrift {
 namespace {
@@ -150,31 +149,6 @@
   return ended;
 }
 
-std::optional<share_row_event> LookAtShares(table_port& table,
-                                            const share_order& asked) {
-  if (asked.write.has_value()) {
-    // The read tells what came of it.
-    static_cast<void>(
-        table.Write({{.key = asked.key,
-                      .value = FormatShareRow(asked.write->row),
-                      .expected_version = asked.write->version}}));
-  }
-  const instant begun = Now();
-  const result<table_row> row = table.Get(asked.key);
-  if (!row) {
-    return row.error() == result_code::kNotFound
-               ? std::optional(share_row_event{.begun = begun})
-               : std::nullopt;
-  }
-  auto parsed = ParseShareRow(row.value().value);
-  if (!parsed) {
-    return std::nullopt;
-  }
-  return share_row_event{.read = {.row = std::move(parsed).value(),
-                                  .version = row.value().version},
-                         .begun = begun};
-}
-
 store_worker::store_worker(table_port& table, incarnation self,
                            event_sink ended)
     : table_(table),
@@ -196,13 +170,6 @@
   ended_(ClaimKeyInterval(table_, claim.interval, self_));
 }
 
-void store_worker::Take(const share_order& asked) {
-  std::optional<share_row_event> seen = LookAtShares(table_, asked);
-  if (seen.has_value()) {
-    ended_(std::move(*seen));
-  }
-}
-
 void store_worker::Loop() {
   while (!mailbox_.Closed()) {
     const instant wake =
--- a/packages/daemon/src/store_worker.h
+++ b/packages/daemon/src/store_worker.h
@@ -5,8 +5,6 @@
 
 #include <atomic>
 #include <functional>
-#include <optional>
-#include <string>
 #include <thread>
 #include <utility>
 #include <variant>
@@ -22,12 +20,6 @@
 /// Takes the outcome of a write as an event for the engine.
 using event_sink = std::function<void(engine_event)>;
 
-/// A look at the row of shares, after a write of it if there is one.
-struct share_order {
-  std::string key;
-  std::optional<share_row_read> write;
-};
-
 /// Writes records from its construction to its destruction.
 class store_worker {
  public:
@@ -40,21 +32,19 @@
   void Record(record_intent record) { mailbox_.Push(record); }
   void Fence(fence_intent asked) { mailbox_.Push(asked); }
   void Claim(claim_interval claim) { mailbox_.Push(claim); }
-  void Share(share_order asked) { mailbox_.Push(std::move(asked)); }
 
   /// Tells how many live entries share the budget of writes.
   void SetWriters(uint32_t writers) { writers_.store(writers); }
 
  private:
-  using order = std::variant<claim_key, record_intent, fence_intent,
-                             claim_interval, share_order>;
+  using order =
+      std::variant<claim_key, record_intent, fence_intent, claim_interval>;
 
   void Loop();
   void Take(claim_key& claim) { AddRecord(group_, std::move(claim)); }
   void Take(const record_intent& record) { AddRecord(group_, record); }
   void Take(const fence_intent& asked);
   void Take(const claim_interval& claim);
-  void Take(const share_order& asked);
 
   table_port& table_;
   incarnation self_;
@@ -78,12 +68,6 @@
                                       const key_interval& interval,
                                       incarnation self);
 
-/// Writes the row of shares if that is asked for, then reads it whatever came
-/// of the write.
-/// @return nothing when it can't be read.
-std::optional<share_row_event> LookAtShares(table_port& table,
-                                            const share_order& asked);
-
 }  // namespace tarragondrift
 
 #endif  // TARRAGONDRIFT_DAEMON_STORE_WORKER_H_
--- a/packages/daemon/test/store_worker_test.cc
+++ b/packages/daemon/test/store_worker_test.cc
@@ -4,7 +4,6 @@
 #include <catch2/trompeloeil.hpp>
 
 #include "mock_ports.h"
-#include "tarragondrift/core/share_cmd.h"
 
 namespace tarragondrift {
 namespace {
@@ -64,41 +63,6 @@
   CHECK(claim.holder_digest == content_digest{3, 4});
 }
 
-TEST_CASE("whatever came of a write of the shares, the row is read again") {
-  mock_table table;
-  const share_row wanted{.plan = 1, .members = {{7}}};
-  const share_row found{.plan = 1, .members = {{8}}};
-  const share_order order{.key = "share/e/d",
-                          .write = share_row_read{.row = wanted, .version = 4}};
-  for (const result_code code :
-       {result_code::kStoreConflict, result_code::kStoreUnknown,
-        result_code::kStoreUnavailable}) {
-    REQUIRE_CALL(table, Write(_))
-        .WITH(_1.size() == 1 && _1[0].expected_version == 4U &&
-              _1[0].value == FormatShareRow(wanted))
-        .RETURN(code);
-    REQUIRE_CALL(table, Get("share/e/d"))
-        .RETURN(table_row{.value = FormatShareRow(found), .version = 5});
-    const auto seen = LookAtShares(table, order);
-    REQUIRE(seen.has_value());
-    CHECK(seen->read.row == found);
-    CHECK(seen->read.version == 5);
-  }
-}
-
-TEST_CASE("an absent row of shares is a contact, an unread one is none") {
-  mock_table table;
-  const auto look = [&table](result<table_row> row) {
-    REQUIRE_CALL(table, Get(_)).RETURN(row);
-    return LookAtShares(table, {.key = "share/e/d"});
-  };
-  const auto absent = look(result_code::kNotFound);
-  REQUIRE(absent.has_value());
-  CHECK(absent->read.version == 0);
-  CHECK_FALSE(look(result_code::kStoreUnavailable).has_value());
-  CHECK_FALSE(look(table_row{.value = "?", .version = 1}).has_value());
-}
-
 TEST_CASE("a fence tells recorded from not recorded, and guesses nothing") {
   mock_table table;
   {
