daemon: wire the distribution of configuration

Cause: each entry read the table's head every second, no entry ever asked another for a document, and a fresh entry served on whatever it read first.

The engine now ticks config_news: the poller of a data centre reads the head row each second, others every 5 s; versions ride on heartbeats; the document comes from the table first, then from peers (FetchConfig) in turns. A fresh entry is ready, and takes submissions, only once it has settled. GET /v1/config/status shows each data centre from DescribeConfigStatus.

Not shown: a document that a peer rather than the table delivered between two processes. Reads of the head don't overlap: a slow read delays the next one.

--- a/packages/daemon/src/engine.cc
+++ b/packages/daemon/src/engine.cc
@@ -80,7 +80,7 @@
     event.content = std::make_shared<const job_content>(content);
   }
   const auto config = Config();
-  if (config == nullptr) {
+  if (config == nullptr || !MayServe()) {
     event.check = result_code::kNotRunNoConfig;
     event.request = HeadOf(content);
     Post(std::move(event));
@@ -113,6 +113,7 @@
 void engine::Loop() {
   now_ = Now();
   next_tick_ = now_;
+  news_ = MakeConfigNews({}, now_);
   while (!mailbox_.Closed()) {
     std::vector<engine_event> events = mailbox_.TakeUntil(ToSteady(NextWake()));
     now_ = Now();
@@ -146,6 +147,7 @@
   TickEntry(state_, now_, actions_);
   TickPeers();
   TickKeys();
+  TickConfig();
   RetryHandover();
   DoAll();
 }
@@ -365,12 +367,6 @@
   EndIntervalClaim(state_, event.interval, event.outcome, event.holder);
 }
 
-void engine::Handle(config_event& event) {
-  if (ApplyEntryConfig(state_, event.document)) {
-    config_.store(state_.config);
-  }
-}
-
 void engine::Handle(instances_event& event) {
   if (state_.config == nullptr) {
     return;
@@ -404,7 +400,8 @@
                        .running_attempts = state_.running.size(),
                        .kept_answers = state_.kept.answers.size(),
                        .held_requests = held_.size(),
-                       .beats_sent = members_.sent};
+                       .beats_sent = members_.sent,
+                       .config = DescribeConfig()};
   if (state_.config != nullptr) {
     status.config_version = state_.config->version;
     status.config_digest = state_.config->digest;
--- a/packages/daemon/src/engine.h
+++ b/packages/daemon/src/engine.h
@@ -14,6 +14,7 @@
 #include "engine_events.h"
 #include "mailbox.h"
 #include "outside_port.h"
+#include "tarragondrift/core/config_news_cmd.h"
 #include "tarragondrift/core/entry_cmd.h"
 #include "tarragondrift/core/membership_cmd.h"
 
@@ -49,6 +50,9 @@
     return config_.load();
   }
 
+  /// Tells whether the configuration in force is new enough to serve on.
+  bool MayServe() const { return may_serve_.load(); }
+
   /// Looks at the engine; blocks for one turn of its thread.
   engine_status Status();
 
@@ -89,6 +93,7 @@
   void Handle(beat_event& event);
   void Handle(learn_peer_event& event);
   void Handle(config_event& event);
+  void Handle(config_polled_event& event);
   void Handle(instances_event& event);
   void Handle(handover_event& event);
   void Handle(drain_event& event);
@@ -116,9 +121,11 @@
   void Tick();
   void TickPeers();
   void TickKeys();
+  void TickConfig();
   void RetryHandover();
   void TestDrained();
   heartbeat DescribeSelf() const;
+  config_status DescribeConfig() const;
   std::string OwnerAddress(incarnation owner) const;
   std::optional<std::string> SuccessorAddress() const;
   std::chrono::milliseconds WaitLeft(const held_request& held) const;
@@ -128,6 +135,7 @@
   outside_port* outside_ = nullptr;
   mailbox<engine_event> mailbox_;
   std::atomic<std::shared_ptr<const config_document>> config_;
+  std::atomic<bool> may_serve_{false};
   std::thread thread_;
 
   // Below: the engine thread's own.
@@ -139,6 +147,7 @@
   std::unordered_map<uint64_t, held_request> held_;
   std::multimap<instant, uint64_t> expiries_;
   membership members_;
+  config_news news_;
   instant next_key_claim_;
   /// Kept answers that no successor has taken yet.
   std::optional<hand_over> handover_;
--- a/packages/daemon/src/engine_events.h
+++ b/packages/daemon/src/engine_events.h
@@ -10,6 +10,7 @@
 #include <vector>
 
 #include "tarragondrift/core/burn_base.h"
+#include "tarragondrift/core/config_news_base.h"
 #include "tarragondrift/core/entry_cmd.h"
 #include "tarragondrift/core/membership_cmd.h"
 #include "tarragondrift/gate/submission_port.h"
@@ -119,6 +120,11 @@
   std::shared_ptr<const config_document> document;
 };
 
+/// A read of the head row ended; without a version it failed.
+struct config_polled_event {
+  std::optional<uint64_t> version;
+};
+
 /// All instances of one upstream that the platform lists here.
 struct instances_event {
   std::string upstream;
@@ -163,6 +169,7 @@
   size_t kept_answers = 0;
   size_t held_requests = 0;
   traffic_count beats_sent;
+  config_status config;
   /// The other entries as far as they were heard.
   std::vector<peer_status> peers;
   std::vector<upstream_instance> instances;
@@ -178,8 +185,9 @@
                  attempt_ended_event, claim_ended_event, record_ended_event,
                  forward_ended_event, await_ended_event, fence_ended_event,
                  interval_ended_event, handover_ended_event, beat_event,
-                 learn_peer_event, config_event, instances_event,
-                 handover_event, drain_event, force_drain_event, status_event>;
+                 learn_peer_event, config_event, config_polled_event,
+                 instances_event, handover_event, drain_event,
+                 force_drain_event, status_event>;
 
 }  // namespace tarragondrift
 
--- a/packages/daemon/src/operators_api.cc
+++ b/packages/daemon/src/operators_api.cc
@@ -89,7 +89,7 @@
 /// Shows the version in force at every entry, as far as it was heard.
 server_response ServeConfigStatus(const operators_context& context) {
   const engine_status status = context.status();
-  uint64_t accepted = status.config_version;
+  uint64_t accepted = status.config.accepted;
   json entries = json::array();
   entries.push_back(ConfigEntryJson(context.self, context.data_centre_number,
                                     context.address, status.config_version,
@@ -99,7 +99,17 @@
     entries.push_back(ConfigEntryJson(peer.who, peer.data_centre, peer.address,
                                       peer.config_version, peer.reachable));
   }
-  return {.body = json{{"accepted", accepted}, {"entries", entries}}.dump()};
+  json data_centres = json::array();
+  for (const data_centre_config_status& there : status.config.data_centres) {
+    data_centres.push_back({{"data_centre", there.data_centre},
+                            {"reachable", there.reachable},
+                            {"up_to_date", there.up_to_date},
+                            {"version", there.version}});
+  }
+  return {.body = json{{"accepted", accepted},
+                       {"entries", entries},
+                       {"data_centres", data_centres}}
+                      .dump()};
 }
 
 server_response ServeBurn(const operators_context& context) {
--- a/packages/daemon/src/outside.cc
+++ b/packages/daemon/src/outside.cc
@@ -5,9 +5,11 @@
 namespace tarragondrift {
 
 outside::outside(const settings& options, incarnation self, engine& target,
-                 table_port& table, metrics& counts, directory_source entries)
+                 table_port& table, metrics& counts, config_loader& loader,
+                 directory_source entries)
     : engine_(target),
       counts_(counts),
+      loader_(loader),
       entries_(std::move(entries)),
       store_(table, self,
              [this](engine_event event) { engine_.Post(std::move(event)); }),
@@ -132,6 +134,26 @@
   peers_->Beat(target.address, target.message, [](result<beat_reply>) {});
 }
 
+void outside::RequestConfig(config_request wanted) {
+  switch (wanted.kind) {
+    case config_request_kind::kPollHead:
+      loader_.PollHead();
+      return;
+    case config_request_kind::kFetchFromPlatform:
+      loader_.FetchFromTable();
+      return;
+    case config_request_kind::kFetchFromPeer:
+      break;
+  }
+  counts_.Messages().peers.fetch_add(1);
+  peers_->FetchConfig(wanted.address, wanted.version,
+                      [this](const result<config_text>& reply) {
+                        if (reply) {
+                          loader_.Take(reply.value());
+                        }
+                      });
+}
+
 void outside::Answered(const job_answer& answer, const burn_key& row) {
   counts_.CountAnswer(answer);
   const auto config = engine_.Config();
--- a/packages/daemon/src/outside.h
+++ b/packages/daemon/src/outside.h
@@ -8,6 +8,7 @@
 #include <optional>
 #include <string>
 
+#include "config_loader.h"
 #include "engine.h"
 #include "entry_registry.h"
 #include "metrics.h"
@@ -28,7 +29,8 @@
 class outside : public outside_port {
  public:
   outside(const settings& options, incarnation self, engine& target,
-          table_port& table, metrics& counts, directory_source entries);
+          table_port& table, metrics& counts, config_loader& loader,
+          directory_source entries);
 
   void Start(start_task start) override;
   void Claim(claim_key claim) override;
@@ -41,6 +43,7 @@
                      cancel_callback done) override;
   void HandOver(hand_over handed, const std::string& address) override;
   void Beat(beat_target target) override;
+  void RequestConfig(config_request wanted) override;
   void Answered(const job_answer& answer, const burn_key& row) override;
 
   upstream_counts UpstreamCounts() const { return upstreams_->Counts(); }
@@ -60,6 +63,7 @@
 
   engine& engine_;
   metrics& counts_;
+  config_loader& loader_;
   directory_source entries_;
   store_worker store_;
   std::unique_ptr<upstream_client> upstreams_;
--- a/packages/daemon/src/outside_port.h
+++ b/packages/daemon/src/outside_port.h
@@ -7,6 +7,7 @@
 #include <string>
 
 #include "tarragondrift/core/burn_base.h"
+#include "tarragondrift/core/config_news_base.h"
 #include "tarragondrift/core/entry_base.h"
 #include "tarragondrift/core/membership_base.h"
 #include "tarragondrift/gate/submission_port.h"
@@ -47,6 +48,9 @@
   virtual void ClaimInterval(claim_interval claim) = 0;
   virtual void HandOver(hand_over handed, const std::string& address) = 0;
   virtual void Beat(beat_target target) = 0;
+  /// Ends with a config_polled_event, a config_event or, when it failed,
+  /// nothing.
+  virtual void RequestConfig(config_request wanted) = 0;
   /// Told of every answer that is delivered here.
   /// @param row its contract and team; empty names when they are not known.
   virtual void Answered(const job_answer& answer, const burn_key& row) = 0;
--- a/packages/daemon/src/platform_poller.cc
+++ b/packages/daemon/src/platform_poller.cc
@@ -3,9 +3,7 @@
 #include <utility>
 
 #include "clock.h"
-#include "config_positions.h"
 #include "logging.h"
-#include "tarragondrift/config/document_text.h"
 
 namespace tarragondrift {
 
@@ -19,7 +17,7 @@
       counts_(counts),
       entries_(std::make_shared<const entry_directory>()),
       last_poll_(Now()),
-      table_thread_(options.interval, [this] { PollTable(); }),
+      table_thread_(options.interval, [this] { PollEntries(); }),
       instance_thread_(options.interval, [this] { PollInstances(); }) {}
 
 result<void> platform_poller::WriteStopped(
@@ -43,60 +41,6 @@
   }
 }
 
-void platform_poller::PollTable() {
-  PollConfig();
-  PollEntries();
-}
-
-void platform_poller::PollConfig() {
-  const result<environment> where = ParseEnvironment(options_.environment);
-  counts_.Messages().platform.fetch_add(1);
-  const result<config_head> head = ReadHead(table_, where.value());
-  Note("config", head.has_value());
-  if (!head || head.value().version == 0 ||
-      (config_ != nullptr && head.value().version <= config_->version)) {
-    return;
-  }
-  counts_.Messages().platform.fetch_add(1);
-  const result<std::string> text = ReadDocument(table_, head.value().digest);
-  if (!text) {
-    log_event(log_level::kError, "config_not_loaded")
-        .With("version", static_cast<int64_t>(head.value().version))
-        .With("code", DescribeResultCode(text.error()).name);
-    return;
-  }
-  TakeConfig(head.value(), text.value());
-}
-
-void platform_poller::TakeConfig(const config_head& head,
-                                 const std::string& text) {
-  parsed_config parsed = ParseConfigDocument(text);
-  if (!parsed.Valid()) {
-    log_event(log_level::kError, "config_invalid")
-        .With("version", static_cast<int64_t>(head.version));
-    return;
-  }
-  parsed.document.version = head.version;
-  parsed.document.digest = head.digest;
-  if (config_ != nullptr) {
-    parsed.document = KeepPositions(*config_, std::move(parsed.document));
-  }
-  config_ = std::make_shared<const config_document>(std::move(parsed.document));
-  {
-    const std::scoped_lock lock(mutex_);
-    text_ = {head.version, head.digest, text};
-  }
-  engine_.Post(config_event{config_});
-  log_event(log_level::kInfo, "config_in_force")
-      .With("version", static_cast<int64_t>(head.version))
-      .With("digest", head.digest);
-}
-
-config_text platform_poller::Config() const {
-  const std::scoped_lock lock(mutex_);
-  return text_;
-}
-
 void platform_poller::LearnPeers() {
   for (const auto& [who, entry] : *Entries()) {
     if (who != options_.self.who && entry.live) {
--- a/packages/daemon/src/platform_poller.h
+++ b/packages/daemon/src/platform_poller.h
@@ -1,4 +1,4 @@
-// Looks at the platform again and again: instances, configuration, entries.
+// Looks at the platform again and again: instances, entries.
 #ifndef TARRAGONDRIFT_DAEMON_PLATFORM_POLLER_H_
 #define TARRAGONDRIFT_DAEMON_PLATFORM_POLLER_H_
 
@@ -13,8 +13,6 @@
 #include "entry_registry.h"
 #include "metrics.h"
 #include "repeating_thread.h"
-#include "tarragondrift/config/config_store.h"
-#include "tarragondrift/link/peer_messages.h"
 #include "tarragondrift/platform/instances.h"
 #include "tarragondrift/platform/table.h"
 
@@ -42,16 +40,10 @@
     return entries_.load();
   }
 
-  /// Gives the text of the configuration in force.
-  config_text Config() const;
-
   /// Writes that this entry stopped, and who has its answers.
   result<void> WriteStopped(std::optional<incarnation> successor);
 
  private:
-  void PollTable();
-  void PollConfig();
-  void TakeConfig(const config_head& head, const std::string& text);
   void LearnPeers();
   void PollEntries();
   void PollInstances();
@@ -64,11 +56,9 @@
   engine& engine_;
   metrics& counts_;
   std::atomic<std::shared_ptr<const entry_directory>> entries_;
-  std::shared_ptr<const config_document> config_;
   instant last_poll_;
   instant next_row_;
   mutable std::mutex mutex_;
-  config_text text_;
   std::set<std::string> failing_;
   // Last, so that the threads end before what they use.
   repeating_thread table_thread_;
--- a/packages/daemon/src/process.cc
+++ b/packages/daemon/src/process.cc
@@ -47,8 +47,9 @@
       table_(MakeTableClient({.base_url = options.table_url})),
       instances_(MakeInstanceClient({.base_url = options.instances_url})),
       engine_(MakeEngineOptions(options, self_)),
+      loader_(*table_, options.environment, engine_, metrics_),
       outside_(std::make_unique<outside>(
-          settings_, self_, engine_, *table_, metrics_,
+          settings_, self_, engine_, *table_, metrics_, loader_,
           [this] { return poller_->Entries(); })) {}
 
 process::~process() {
@@ -81,7 +82,7 @@
 
 result<void> process::ListenToPeers() {
   peer_calls_ = std::make_unique<peer_calls>(
-      self_, engine_, [this] { return poller_->Config(); });
+      self_, engine_, [this] { return loader_.Config(); });
   auto peers = peer_server::Start(
       {.address = settings_.peers, .token = settings_.peer_token},
       *peer_calls_);
@@ -123,22 +124,21 @@
 }
 
 operators_context process::MakeContext() {
-  return {
-      .token = settings_.operator_token,
-      .self = self_,
-      .data_centre = settings_.data_centre,
-      .data_centre_number = settings_.data_centre_number,
-      .address = settings_.peers,
-      .table = table_.get(),
-      .ready = [this] { return ready_.load() && engine_.Config() != nullptr; },
-      .metrics_page =
-          [this] {
-            return metrics_.Render(engine_.Status(),
-                                   outside_->UpstreamCounts());
-          },
-      .status = [this] { return engine_.Status(); },
-      .entries = [this] { return poller_->Entries(); },
-      .burn = [this] { return metrics_.Burn(); }};
+  return {.token = settings_.operator_token,
+          .self = self_,
+          .data_centre = settings_.data_centre,
+          .data_centre_number = settings_.data_centre_number,
+          .address = settings_.peers,
+          .table = table_.get(),
+          .ready = [this] { return ready_.load() && engine_.MayServe(); },
+          .metrics_page =
+              [this] {
+                return metrics_.Render(engine_.Status(),
+                                       outside_->UpstreamCounts());
+              },
+          .status = [this] { return engine_.Status(); },
+          .entries = [this] { return poller_->Entries(); },
+          .burn = [this] { return metrics_.Burn(); }};
 }
 
 void process::BeginDrain(drained_callback drained) {
--- a/packages/daemon/src/process.h
+++ b/packages/daemon/src/process.h
@@ -6,6 +6,7 @@
 #include <memory>
 #include <optional>
 
+#include "config_loader.h"
 #include "engine.h"
 #include "metrics.h"
 #include "operators_api.h"
@@ -55,6 +56,7 @@
   std::unique_ptr<instance_port> instances_;
   std::atomic<bool> ready_{false};
   engine engine_;
+  config_loader loader_;
   std::unique_ptr<outside> outside_;
   std::unique_ptr<platform_poller> poller_;
   std::unique_ptr<peer_calls> peer_calls_;
