daemon: take 'repeated' of a promote

Cause: the command's own retry was told "no effect" by a failing table, though its earlier copy may still take effect. 'repeated' now reaches config_change.

Seen: daemon tests pass, 76 assertions in 17 cases; without 'repeated' the test gets the store's code, with it kConfigOutcomeUnknown.

--- a/packages/daemon/src/config_api.cc
+++ b/packages/daemon/src/config_api.cc
@@ -77,6 +77,14 @@
   change.operation = operation != body.end() && operation->is_string()
                          ? operation->get<std::string>()
                          : MakeOperation();
+  const auto repeated = body.find("repeated");
+  if (repeated != body.end()) {
+    if (!repeated->is_boolean()) {
+      return request_error{result_code::kMalformedRequest,
+                           "'repeated' is neither true nor false"};
+    }
+    change.repeated = repeated->get<bool>();
+  }
   const auto expected = body.find("expected_version");
   if (expected != body.end()) {
     if (!expected->is_number_unsigned()) {
