--- a/packages/daemon/src/process.cc
+++ b/packages/daemon/src/process.cc
@@ -6,6 +6,7 @@
 #include <utility>
 
 #include "logging.h"
+#include "tarragondrift/config/burn_store.h"
 #include "tarragondrift/gate/callers_api.h"
 #include "tarragondrift/gate/limits.h"
 #include "tarragondrift/platform/clients.h"
@@ -76,6 +77,7 @@
   BOOST_OUTCOME_TRYV(ListenToPeers());
   BOOST_OUTCOME_TRYV(ListenToCallers());
   BOOST_OUTCOME_TRYV(ListenToOperators());
+  burn_thread_.emplace(kBurnBucket, [this] { WriteBurn(); });
   ready_.store(true);
   return outcome::success();
 }
@@ -141,6 +143,17 @@
           .burn = [this] { return metrics_.Burn(); }};
 }
 
+/// Leaves the counts in the table, where they outlive this entry.
+void process::WriteBurn() {
+  metrics_.Messages().platform.fetch_add(1);
+  const result<void> written = FlushBurn(
+      *table_, {.incarnation = self_.value, .counts = metrics_.Burn()});
+  if (!written) {
+    log_event(log_level::kWarning, "burn_not_written")
+        .With("code", DescribeResultCode(written.error()).name);
+  }
+}
+
 void process::BeginDrain(drained_callback drained) {
   ready_.store(false);
   engine_.Post(drain_event{std::move(drained)});
@@ -158,6 +171,9 @@
          std::chrono::steady_clock::now() < limit) {
     std::this_thread::sleep_for(kSendPoll);
   }
+  // No older counts may follow the last ones.
+  burn_thread_.reset();
+  WriteBurn();
 }
 
 }  // namespace tarragondrift
--- a/packages/daemon/src/process.h
+++ b/packages/daemon/src/process.h
@@ -13,6 +13,7 @@
 #include "outside.h"
 #include "peer_calls.h"
 #include "platform_poller.h"
+#include "repeating_thread.h"
 #include "settings.h"
 #include "tarragondrift/gate/http_server.h"
 #include "tarragondrift/link/peer_server.h"
@@ -48,6 +49,7 @@
   result<void> ListenToCallers();
   result<void> ListenToOperators();
   result<void> ListenToPeers();
+  void WriteBurn();
 
   settings settings_;
   incarnation self_;
@@ -63,6 +65,8 @@
   std::unique_ptr<peer_server> peers_;
   std::unique_ptr<http_server> callers_;
   std::unique_ptr<http_server> operators_;
+  // Last, so that it ends before what it reads.
+  std::optional<repeating_thread> burn_thread_;
 };
 
 }  // namespace tarragondrift
