daemon: share the budget of writes among the live entries

Cause: SetWriters was never called, so every entry took the whole budget of the table. The engine now passes the number of live entries of all data centres, itself included, each second.

Seen: builds; daemon, faults and tool tests pass. No test covers the count.

--- a/packages/daemon/src/engine_peers.cc
+++ b/packages/daemon/src/engine_peers.cc
@@ -22,6 +22,14 @@
       std::chrono::system_clock::now().time_since_epoch());
 }
 
+/// Counts the live entries of all data centres, this one included.
+uint32_t CountLiveEntries(const membership& members, instant now) {
+  const auto others = std::count_if(
+      members.peers.begin(), members.peers.end(),
+      [&](const auto& item) { return IsLive(members, item.second, now); });
+  return static_cast<uint32_t>(others) + 1;
+}
+
 }  // namespace
 
 heartbeat engine::DescribeSelf() const {
@@ -59,6 +67,7 @@
   const std::vector<incarnation> live =
       LiveEntries(members_, options_.entry.data_centre, now_);
   ClaimIntervals(state_, live, EpochTime(), actions_);
+  outside_->SetWriters(CountLiveEntries(members_, now_));
 }
 
 std::string engine::OwnerAddress(incarnation owner) const {
--- a/packages/daemon/src/outside.h
+++ b/packages/daemon/src/outside.h
@@ -41,6 +41,7 @@
   void Forward(forward_await call) override;
   void ForwardCancel(const submission_id& id, const std::string& address,
                      cancel_callback done) override;
+  void SetWriters(uint32_t writers) override { store_.SetWriters(writers); }
   void HandOver(hand_over handed, const std::string& address) override;
   void Beat(beat_target target) override;
   void RequestConfig(config_request wanted) override;
@@ -48,9 +49,6 @@
 
   upstream_counts UpstreamCounts() const { return upstreams_->Counts(); }
 
-  /// Tells how many live entries share the platform's budget of writes.
-  void SetWriters(uint32_t writers) { store_.SetWriters(writers); }
-
  private:
   /// Where to ask for an owner's submissions.
   struct owner_place {
--- a/packages/daemon/src/outside_port.h
+++ b/packages/daemon/src/outside_port.h
@@ -3,6 +3,7 @@
 #ifndef TARRAGONDRIFT_DAEMON_OUTSIDE_PORT_H_
 #define TARRAGONDRIFT_DAEMON_OUTSIDE_PORT_H_
 
+#include <cstdint>
 #include <memory>
 #include <string>
 
@@ -46,6 +47,8 @@
                              cancel_callback done) = 0;
   virtual void Fence(fence_intent asked) = 0;
   virtual void ClaimInterval(claim_interval claim) = 0;
+  /// Tells how many live entries share the platform's budget of writes.
+  virtual void SetWriters(uint32_t writers) = 0;
   virtual void HandOver(hand_over handed, const std::string& address) = 0;
   virtual void Beat(beat_target target) = 0;
   /// Ends with a config_polled_event, a config_event or, when it failed,
