--- a/packages/daemon/src/outside.h
+++ b/packages/daemon/src/outside.h
@@ -8,6 +8,7 @@
 #include <optional>
 #include <string>
 
+#include "config_loader.h"
 #include "engine.h"
 #include "entry_registry.h"
 #include "metrics.h"
@@ -28,7 +29,8 @@
 class outside : public outside_port {
  public:
   outside(const settings& options, incarnation self, engine& target,
-          table_port& table, metrics& counts, directory_source entries);
+          table_port& table, metrics& counts, config_loader& loader,
+          directory_source entries);
 
   void Start(start_task start) override;
   void Claim(claim_key claim) override;
@@ -39,15 +41,14 @@
   void Forward(forward_await call) override;
   void ForwardCancel(const submission_id& id, const std::string& address,
                      cancel_callback done) override;
+  void SetWriters(uint32_t writers) override { store_.SetWriters(writers); }
   void HandOver(hand_over handed, const std::string& address) override;
   void Beat(beat_target target) override;
+  void RequestConfig(config_request wanted) override;
   void Answered(const job_answer& answer, const burn_key& row) override;
 
   upstream_counts UpstreamCounts() const { return upstreams_->Counts(); }
 
-  /// Tells how many live entries share the platform's budget of writes.
-  void SetWriters(uint32_t writers) { store_.SetWriters(writers); }
-
  private:
   /// Where to ask for an owner's submissions.
   struct owner_place {
@@ -60,6 +61,7 @@
 
   engine& engine_;
   metrics& counts_;
+  config_loader& loader_;
   directory_source entries_;
   store_worker store_;
   std::unique_ptr<upstream_client> upstreams_;
--- a/packages/daemon/src/outside_port.h
+++ b/packages/daemon/src/outside_port.h
@@ -3,10 +3,12 @@
 #ifndef TARRAGONDRIFT_DAEMON_OUTSIDE_PORT_H_
 #define TARRAGONDRIFT_DAEMON_OUTSIDE_PORT_H_
 
+#include <cstdint>
 #include <memory>
 #include <string>
 
 #include "tarragondrift/core/burn_base.h"
+#include "tarragondrift/core/config_news_base.h"
 #include "tarragondrift/core/entry_base.h"
 #include "tarragondrift/core/membership_base.h"
 #include "tarragondrift/gate/submission_port.h"
@@ -45,8 +47,13 @@
                              cancel_callback done) = 0;
   virtual void Fence(fence_intent asked) = 0;
   virtual void ClaimInterval(claim_interval claim) = 0;
+  /// Tells how many live entries share the platform's budget of writes.
+  virtual void SetWriters(uint32_t writers) = 0;
   virtual void HandOver(hand_over handed, const std::string& address) = 0;
   virtual void Beat(beat_target target) = 0;
+  /// Ends with a config_polled_event, a config_event or, when it failed,
+  /// nothing.
+  virtual void RequestConfig(config_request wanted) = 0;
   /// Told of every answer that is delivered here.
   /// @param row its contract and team; empty names when they are not known.
   virtual void Answered(const job_answer& answer, const burn_key& row) = 0;
--- a/packages/daemon/src/process.cc
+++ b/packages/daemon/src/process.cc
@@ -6,6 +6,7 @@
 #include <utility>
 
 #include "logging.h"
+#include "tarragondrift/config/burn_store.h"
 #include "tarragondrift/gate/callers_api.h"
 #include "tarragondrift/gate/limits.h"
 #include "tarragondrift/platform/clients.h"
@@ -47,8 +48,9 @@
       table_(MakeTableClient({.base_url = options.table_url})),
       instances_(MakeInstanceClient({.base_url = options.instances_url})),
       engine_(MakeEngineOptions(options, self_)),
+      loader_(*table_, options.environment, engine_, metrics_),
       outside_(std::make_unique<outside>(
-          settings_, self_, engine_, *table_, metrics_,
+          settings_, self_, engine_, *table_, metrics_, loader_,
           [this] { return poller_->Entries(); })) {}
 
 process::~process() {
@@ -75,13 +77,14 @@
   BOOST_OUTCOME_TRYV(ListenToPeers());
   BOOST_OUTCOME_TRYV(ListenToCallers());
   BOOST_OUTCOME_TRYV(ListenToOperators());
+  burn_thread_.emplace(kBurnBucket, [this] { WriteBurn(); });
   ready_.store(true);
   return outcome::success();
 }
 
 result<void> process::ListenToPeers() {
   peer_calls_ = std::make_unique<peer_calls>(
-      self_, engine_, [this] { return poller_->Config(); });
+      self_, engine_, [this] { return loader_.Config(); });
   auto peers = peer_server::Start(
       {.address = settings_.peers, .token = settings_.peer_token},
       *peer_calls_);
@@ -123,22 +126,32 @@
 }
 
 operators_context process::MakeContext() {
-  return {
-      .token = settings_.operator_token,
-      .self = self_,
-      .data_centre = settings_.data_centre,
-      .data_centre_number = settings_.data_centre_number,
-      .address = settings_.peers,
-      .table = table_.get(),
-      .ready = [this] { return ready_.load() && engine_.Config() != nullptr; },
-      .metrics_page =
-          [this] {
-            return metrics_.Render(engine_.Status(),
-                                   outside_->UpstreamCounts());
-          },
-      .status = [this] { return engine_.Status(); },
-      .entries = [this] { return poller_->Entries(); },
-      .burn = [this] { return metrics_.Burn(); }};
+  return {.token = settings_.operator_token,
+          .self = self_,
+          .data_centre = settings_.data_centre,
+          .data_centre_number = settings_.data_centre_number,
+          .address = settings_.peers,
+          .table = table_.get(),
+          .ready = [this] { return ready_.load() && engine_.MayServe(); },
+          .metrics_page =
+              [this] {
+                return metrics_.Render(engine_.Status(),
+                                       outside_->UpstreamCounts());
+              },
+          .status = [this] { return engine_.Status(); },
+          .entries = [this] { return poller_->Entries(); },
+          .burn = [this] { return metrics_.Burn(); }};
+}
+
+/// Leaves the counts in the table, where they outlive this entry.
+void process::WriteBurn() {
+  metrics_.Messages().platform.fetch_add(1);
+  const result<void> written = FlushBurn(
+      *table_, {.incarnation = self_.value, .counts = metrics_.Burn()});
+  if (!written) {
+    log_event(log_level::kWarning, "burn_not_written")
+        .With("code", DescribeResultCode(written.error()).name);
+  }
 }
 
 void process::BeginDrain(drained_callback drained) {
@@ -158,6 +171,9 @@
          std::chrono::steady_clock::now() < limit) {
     std::this_thread::sleep_for(kSendPoll);
   }
+  // No older counts may follow the last ones.
+  burn_thread_.reset();
+  WriteBurn();
 }
 
 }  // namespace tarragondrift
--- a/packages/daemon/src/process.h
+++ b/packages/daemon/src/process.h
@@ -6,12 +6,14 @@
 #include <memory>
 #include <optional>
 
+#include "config_loader.h"
 #include "engine.h"
 #include "metrics.h"
 #include "operators_api.h"
 #include "outside.h"
 #include "peer_calls.h"
 #include "platform_poller.h"
+#include "repeating_thread.h"
 #include "settings.h"
 #include "tarragondrift/gate/http_server.h"
 #include "tarragondrift/link/peer_server.h"
@@ -47,6 +49,7 @@
   result<void> ListenToCallers();
   result<void> ListenToOperators();
   result<void> ListenToPeers();
+  void WriteBurn();
 
   settings settings_;
   incarnation self_;
@@ -55,12 +58,15 @@
   std::unique_ptr<instance_port> instances_;
   std::atomic<bool> ready_{false};
   engine engine_;
+  config_loader loader_;
   std::unique_ptr<outside> outside_;
   std::unique_ptr<platform_poller> poller_;
   std::unique_ptr<peer_calls> peer_calls_;
   std::unique_ptr<peer_server> peers_;
   std::unique_ptr<http_server> callers_;
   std::unique_ptr<http_server> operators_;
+  // Last, so that it ends before what it reads.
+  std::optional<repeating_thread> burn_thread_;
 };
 
 }  // namespace tarragondrift
