--- a/packages/gate/test/client_comparison.cc
+++ b/packages/gate/test/client_comparison.cc
@@ -106,7 +106,8 @@
   std::atomic<uint32_t> next_ = 0;
   std::vector<std::promise<bool>> ended_{kRequests};
   std::unique_ptr<upstream_client> client_ = upstream_client::Start(
-      {.threads = 4}, [this](const placement& placed, attempt_result ended) {
+      {.threads = 4},
+      [this](const placement& placed, const attempt_result& ended) {
         ended_[placed.task.task.number].set_value(ended.outcome ==
                                                   attempt_outcome::kSucceeded);
       });
