--- a/packages/core/test/drain_test.cc
+++ b/packages/core/test/drain_test.cc
@@ -9,7 +9,7 @@
 
 /// Runs one job of one task to its end.
 job_request RunOne(entry& state, const std::string& body) {
-  const auto request = MakeTicketRequest(state, 1);
+  auto request = MakeTicketRequest(state, 1);
   const auto starts = Select<start_task>(Submit(state, request));
   End(state, starts.at(0), kSucceeded, body);
   return request;
--- a/packages/daemon/test/store_worker_test.cc
+++ b/packages/daemon/test/store_worker_test.cc
@@ -39,7 +39,7 @@
 
 TEST_CASE("a lost reply is resolved by reading back") {
   mock_table table;
-  const auto write_lost = [&table](result<table_row> row) {
+  const auto write_lost = [&table](const result<table_row>& row) {
     REQUIRE_CALL(table, Write(_)).RETURN(result_code::kStoreUnknown);
     REQUIRE_CALL(table, Get(_)).RETURN(row);
     return RecordOf(WriteRecords(table, {record_intent{.id = kOwn}})[0]);
@@ -69,7 +69,7 @@
     REQUIRE_CALL(table, Write(_)).RETURN(outcome::success());
     CHECK(FenceIntent(table, kOwn) == fence_outcome::kFenced);
   }
-  const auto fence_failed = [&table](result<table_row> row) {
+  const auto fence_failed = [&table](const result<table_row>& row) {
     REQUIRE_CALL(table, Write(_)).RETURN(result_code::kStoreConflict);
     REQUIRE_CALL(table, Get(_)).RETURN(row);
     return FenceIntent(table, kOwn);
--- a/packages/gate/include/tarragondrift/gate/upstream_client.h
+++ b/packages/gate/include/tarragondrift/gate/upstream_client.h
@@ -41,7 +41,7 @@
  public:
   /// Starts the client's threads.
   static std::unique_ptr<upstream_client> Start(
-      const upstream_client_options& options, attempt_callback ended);
+      const upstream_client_options& options, const attempt_callback& ended);
 
   virtual ~upstream_client() = default;
 
--- a/packages/gate/src/job_json.cc
+++ b/packages/gate/src/job_json.cc
@@ -143,7 +143,7 @@
   if (at->size() > kMostTasks) {
     throw parse_failure(result_code::kTooManyTasks, "too many tasks");
   }
-  static const std::unordered_set<std::string> kTaskFields{
+  static const std::unordered_set<std::string> task_fields{
       "name", "upstream", "declared_ms", "payload"};
   std::vector<task_content> tasks;
   tasks.reserve(at->size());
@@ -152,7 +152,7 @@
     if (!task.is_object()) {
       Fail("a task is not an object");
     }
-    CheckFields(task, kTaskFields);
+    CheckFields(task, task_fields);
     tasks.push_back(ReadWork(task, ReadName(task, "name")));
     if (!names.insert(tasks.back().name).second) {
       throw parse_failure(result_code::kDuplicateTaskName,
@@ -177,11 +177,11 @@
 }  // namespace
 
 checked<job_content> ParseJob(std::string_view body) {
-  static const std::unordered_set<std::string> kJobFields{
+  static const std::unordered_set<std::string> job_fields{
       "id", "idempotency_key", "contract", "team", "deadline_ms", "tasks"};
   return Guard<job_content>([body] {
     const json object = ParseObject(body);
-    CheckFields(object, kJobFields);
+    CheckFields(object, job_fields);
     job_content content = ReadHead(object);
     content.tasks = ReadTasks(object);
     content.digest = DigestContent(content);
@@ -190,12 +190,12 @@
 }
 
 checked<job_content> ParseSingleRequest(std::string_view body) {
-  static const std::unordered_set<std::string> kSingleFields{
+  static const std::unordered_set<std::string> request_fields{
       "id",          "idempotency_key", "contract",    "team",
       "deadline_ms", "upstream",        "declared_ms", "payload"};
   return Guard<job_content>([body] {
     const json object = ParseObject(body);
-    CheckFields(object, kSingleFields);
+    CheckFields(object, request_fields);
     job_content content = ReadHead(object);
     content.tasks.push_back(ReadWork(object, "request"));
     content.digest = DigestContent(content);
--- a/packages/gate/src/upstream_client.cc
+++ b/packages/gate/src/upstream_client.cc
@@ -42,7 +42,7 @@
 }  // namespace
 
 std::unique_ptr<upstream_client> upstream_client::Start(
-    const upstream_client_options& options, attempt_callback ended) {
+    const upstream_client_options& options, const attempt_callback& ended) {
   return std::make_unique<curl_upstream_client>(options, ended);
 }
 
--- a/packages/gate/test/closing_server.h
+++ b/packages/gate/test/closing_server.h
@@ -8,6 +8,7 @@
 #include <unistd.h>
 
 #include <atomic>
+#include <stdexcept>
 #include <string>
 #include <thread>
 
@@ -23,7 +24,9 @@
     address.sin_family = AF_INET;
     address.sin_addr.s_addr = htonl(INADDR_LOOPBACK);
     auto* const generic = reinterpret_cast<sockaddr*>(&address);  // NOLINT
-    bind(listener_, generic, sizeof(address));
+    if (bind(listener_, generic, sizeof(address)) != 0) {
+      throw std::runtime_error("cannot bind");
+    }
     socklen_t length = sizeof(address);
     getsockname(listener_, generic, &length);
     port_ = ntohs(address.sin_port);
--- a/packages/link/test/peer_test.cc
+++ b/packages/link/test/peer_test.cc
@@ -5,6 +5,7 @@
 #include <catch2/catch.hpp>
 #include <future>
 #include <memory>
+#include <stdexcept>
 #include <string>
 
 #include "tarragondrift/link/peer_client.h"
@@ -22,7 +23,9 @@
   address.sin_family = AF_INET;
   address.sin_addr.s_addr = htonl(INADDR_LOOPBACK);
   auto* const generic = reinterpret_cast<sockaddr*>(&address);  // NOLINT
-  bind(probe, generic, sizeof(address));
+  if (bind(probe, generic, sizeof(address)) != 0) {
+    throw std::runtime_error("cannot bind");
+  }
   socklen_t length = sizeof(address);
   getsockname(probe, generic, &length);
   close(probe);
