--- a/packages/config/src/config_store.cc
+++ b/packages/config/src/config_store.cc
@@ -245,7 +245,7 @@
 /// Tests a document against the one that it would replace.
 /// @return kOk with no errors when it may replace it.
 change_outcome TestReplacement(table_port& table, const config_head& latest,
-                               const std::string& text) {
+                               const config_document& next) {
   if (latest.version == 0) {
     return Refuse(result_code::kOk);
   }
@@ -253,9 +253,8 @@
   if (now.has_error()) {
     return Refuse(now.assume_error());
   }
-  const parsed_config next = ParseConfigDocument(text);
   change_outcome tested{.code = result_code::kOk};
-  tested.errors = ListChangedRecording(now.assume_value(), next.document);
+  tested.errors = ListChangedRecording(now.assume_value(), next);
   if (!tested.errors.empty()) {
     tested.code = result_code::kConfigInvalid;
   }
@@ -264,8 +263,9 @@
 
 /// Carries out a change of one environment by compare-and-set on its head.
 change_outcome ChangeHead(table_port& table, environment where,
-                          const std::string& text, const std::string& digest,
+                          const std::string& text, const config_document& next,
                           const config_change& change) {
+  const std::string& digest = next.digest;
   const result<head_row> base = ReadHeadRow(table, where);
   if (base.has_error()) {
     return Refuse(change.repeated ? result_code::kConfigOutcomeUnknown
@@ -282,7 +282,7 @@
   if (latest.digest == digest) {
     return ReportAccepted(latest, latest, false);
   }
-  change_outcome tested = TestReplacement(table, latest, text);
+  change_outcome tested = TestReplacement(table, latest, next);
   if (tested.code == result_code::kConfigInvalid) {
     return tested;
   }
@@ -388,8 +388,7 @@
     return change_outcome{.code = result_code::kConfigInvalid,
                           .errors = std::move(parsed.errors)};
   }
-  return ChangeHead(table, environment::kTrial, text, parsed.document.digest,
-                    change);
+  return ChangeHead(table, environment::kTrial, text, parsed.document, change);
 }
 
 change_outcome PromoteDocument(table_port& table, const std::string& digest,
@@ -408,7 +407,7 @@
                           .errors = std::move(parsed.errors)};
   }
   return ChangeHead(table, environment::kProduction, text.assume_value(),
-                    digest, change);
+                    parsed.document, change);
 }
 
 result<config_head> ReadHead(table_port& table, environment where) {
--- a/packages/core/include/tarragondrift/core/submission_cmd.h
+++ b/packages/core/include/tarragondrift/core/submission_cmd.h
@@ -2,13 +2,16 @@
 #ifndef TARRAGONDRIFT_CORE_SUBMISSION_CMD_H_
 #define TARRAGONDRIFT_CORE_SUBMISSION_CMD_H_
 
+#include <chrono>
+
 #include "tarragondrift/core/entry_base.h"
 
 namespace tarragondrift {
 
 /// Makes the answer to a request that became no job here.
-job_answer_ptr MakeRefusal(const entry& state, const submission_id& id,
-                           result_code code);
+/// @param retry_after when to come back.
+job_answer_ptr MakeRefusal(const submission_id& id, result_code code,
+                           std::chrono::milliseconds retry_after);
 
 /// Tells whether this entry minted the id.
 bool Owns(const entry& state, const submission_id& id);
--- a/packages/core/src/recovery_cmd.cc
+++ b/packages/core/src/recovery_cmd.cc
@@ -8,8 +8,9 @@
 /// Answers a waiter whose submission is not here.
 void Answer(const entry& state, waiter_id waiter, const submission_id& id,
             result_code code, actions& out) {
-  out.emplace_back(
-      deliver_answer{.waiter = waiter, .answer = MakeRefusal(state, id, code)});
+  out.emplace_back(deliver_answer{
+      .waiter = waiter,
+      .answer = MakeRefusal(id, code, state.options.retry_after)});
 }
 
 }  // namespace
--- a/packages/core/src/submission_cmd.cc
+++ b/packages/core/src/submission_cmd.cc
@@ -23,26 +23,23 @@
   instant now;
 };
 
-/// Makes the refusal of a request, with the time when its work may fit.
-job_answer_ptr MakeTimedRefusal(const entry& state, const arrival& coming,
-                                result_code code) {
+/// Tells when a refused request is worth sending again.
+std::chrono::milliseconds RetryTime(const entry& state, const arrival& coming,
+                                    result_code code) {
   const bool passes = code == result_code::kNotRunOverloaded ||
                       code == result_code::kNotRunQuota ||
                       code == result_code::kRefusedForNow;
-  return std::make_shared<const job_answer>(job_answer{
-      .id = coming.request.id.value_or(submission_id{}),
-      .code = code,
-      .retry_after =
-          passes ? RetryAfter(state.dispatch, coming.request, coming.now)
-                 : state.options.retry_after});
+  return passes ? RetryAfter(state.dispatch, coming.request, coming.now)
+                : state.options.retry_after;
 }
 
 /// Delivers a refusal that no later request depends on.
 result_code Refuse(const entry& state, const arrival& coming, result_code code,
                    actions& out) {
-  out.emplace_back(
-      deliver_answer{.waiter = coming.waiter,
-                     .answer = MakeTimedRefusal(state, coming, code)});
+  const submission_id id = coming.request.id.value_or(submission_id{});
+  out.emplace_back(deliver_answer{
+      .waiter = coming.waiter,
+      .answer = MakeRefusal(id, code, RetryTime(state, coming, code))});
   return code;
 }
 
@@ -58,7 +55,8 @@
     return Refuse(state, coming, code, out);
   }
   const submission_id id = *coming.request.id;
-  const job_answer_ptr answer = MakeTimedRefusal(state, coming, code);
+  const job_answer_ptr answer =
+      MakeRefusal(id, code, RetryTime(state, coming, code));
   MarkUsed(state.kept.window, id.sequence);
   KeepRefusal(state, id,
               submission{.digest = coming.request.digest, .answer = answer});
@@ -239,10 +237,10 @@
 
 }  // namespace
 
-job_answer_ptr MakeRefusal(const entry& state, const submission_id& id,
-                           result_code code) {
-  return std::make_shared<const job_answer>(job_answer{
-      .id = id, .code = code, .retry_after = state.options.retry_after});
+job_answer_ptr MakeRefusal(const submission_id& id, result_code code,
+                           std::chrono::milliseconds retry_after) {
+  return std::make_shared<const job_answer>(
+      job_answer{.id = id, .code = code, .retry_after = retry_after});
 }
 
 bool Owns(const entry& state, const submission_id& id) {
@@ -347,8 +345,8 @@
     if (known->second.may_send_again) {
       // This id won't run; another may run under the same key.
       known->second.may_send_again = false;
-      known->second.answer =
-          MakeRefusal(state, id, result_code::kOutcomeUnknown);
+      known->second.answer = MakeRefusal(id, result_code::kOutcomeUnknown,
+                                         state.options.retry_after);
     }
     if (state.jobs.Find(place) == nullptr) {
       return outcome::success();
@@ -371,7 +369,8 @@
                                                      : test;
   }
   // The cancel overtook its submission, which must not run when it arrives.
-  const auto answer = MakeRefusal(state, id, result_code::kNotRunCancelled);
+  const auto answer =
+      MakeRefusal(id, result_code::kNotRunCancelled, state.options.retry_after);
   MarkUsed(state.kept.window, id.sequence);
   KeepRefusal(state, id, submission{.answer = answer});
   return outcome::success();
--- a/packages/fakes/src/fake_http_server.h
+++ b/packages/fakes/src/fake_http_server.h
@@ -17,6 +17,12 @@
 
 namespace tarragondrift {
 
+// Status codes that stand-ins answer with.
+inline constexpr int kBadRequest = 400;
+inline constexpr int kNotFound = 404;
+inline constexpr int kInternalError = 500;
+inline constexpr int kServiceUnavailable = 503;
+
 /// One request as a stand-in sees it.
 struct fake_request {
   std::string method;
--- a/packages/fakes/src/fake_instances.cc
+++ b/packages/fakes/src/fake_instances.cc
@@ -9,7 +9,6 @@
 
 using nlohmann::json;
 
-constexpr int kNotFound = 404;
 constexpr std::string_view kHealthPath = "/v1/health/service/";
 
 /// Writes one instance in the interface's shape.
--- a/packages/fakes/src/fake_objects.cc
+++ b/packages/fakes/src/fake_objects.cc
@@ -3,7 +3,6 @@
 namespace tarragondrift {
 namespace {
 
-constexpr int kNotFound = 404;
 constexpr int kMethodNotAllowed = 405;
 
 }  // namespace
--- a/packages/fakes/src/fake_platform.cc
+++ b/packages/fakes/src/fake_platform.cc
@@ -8,15 +8,13 @@
 #include <string_view>
 #include <utility>
 
+#include "fake_names.h"
+
 namespace tarragondrift {
 namespace {
 
 using nlohmann::json;
 
-constexpr int kBadRequest = 400;
-constexpr int kNotFound = 404;
-constexpr int kInternalError = 500;
-constexpr int kServiceUnavailable = 503;
 /// How long a call to a black hole hangs: longer than any client waits.
 constexpr std::chrono::milliseconds kBlackHoleTime{60'000};
 
@@ -33,18 +31,6 @@
                    {"objects", fake_service::kObjects},
                    {"instances", fake_service::kInstances}}};
 
-/// Finds the value of a name in a table of names.
-template <class Table>
-auto FindName(const Table& table, std::string_view name)
-    -> std::optional<decltype(table.front().second)> {
-  for (const auto& [known, value] : table) {
-    if (known == name) {
-      return value;
-    }
-  }
-  return std::nullopt;
-}
-
 /// What one call to a service consists of.
 struct service_call {
   bool write = false;
--- a/packages/fakes/src/fake_platform_main.cc
+++ b/packages/fakes/src/fake_platform_main.cc
@@ -1,6 +1,5 @@
 // Runs the stand-in platform until it is told to stop.
 #include <cstdio>
-#include <exception>
 #include <sstream>
 #include <vector>
 
@@ -101,10 +100,5 @@
 }  // namespace tarragondrift
 
 int main(int argc, char** argv) {
-  try {
-    return tarragondrift::RunProgram(argc, argv);
-  } catch (const std::exception& error) {
-    std::fprintf(stderr, "event=failed cause=\"%s\"\n", error.what());
-    return 2;
-  }
+  return tarragondrift::RunGuarded(argc, argv, tarragondrift::RunProgram);
 }
--- a/packages/fakes/src/fake_table.cc
+++ b/packages/fakes/src/fake_table.cc
@@ -9,8 +9,6 @@
 
 using nlohmann::json;
 
-constexpr int kBadRequest = 400;
-
 /// The sort key of an operation's row.
 std::string KeyOf(const json& operation) {
   return operation.at("Key").at("key").at("S").get<std::string>();
--- a/packages/fakes/src/fake_upstream.cc
+++ b/packages/fakes/src/fake_upstream.cc
@@ -9,15 +9,13 @@
 #include <string_view>
 #include <utility>
 
+#include "fake_names.h"
+
 namespace tarragondrift {
 namespace {
 
 using nlohmann::json;
 
-constexpr int kBadRequest = 400;
-constexpr int kNotFound = 404;
-constexpr int kInternalError = 500;
-constexpr int kServiceUnavailable = 503;
 /// How long a hanging instance holds a task: longer than any client waits.
 constexpr std::chrono::milliseconds kHangTime{600'000};
 
@@ -29,16 +27,6 @@
      {"leaving", upstream_mode::kLeaving},
      {"reply_lost", upstream_mode::kReplyLost}}};
 
-/// Finds a mode by its name.
-std::optional<upstream_mode> FindMode(std::string_view name) {
-  for (const auto& [known, mode] : kModeNames) {
-    if (known == name) {
-      return mode;
-    }
-  }
-  return std::nullopt;
-}
-
 /// Reads a header.
 /// @return the empty text when there is none.
 std::string HeaderOf(const fake_request& request, const char* name) {
@@ -265,7 +253,7 @@
       !body.at("mode").is_string()) {
     return {.status = kBadRequest, .body = "{}"};
   }
-  const auto mode = FindMode(body.at("mode").get<std::string>());
+  const auto mode = FindName(kModeNames, body.at("mode").get<std::string>());
   const std::string address = body.value("instance", "");
   if (!mode || !SetMode(address, *mode)) {
     return {.status = kBadRequest, .body = "unknown mode or instance"};
--- a/packages/fakes/src/fake_upstream_main.cc
+++ b/packages/fakes/src/fake_upstream_main.cc
@@ -1,6 +1,5 @@
 // Runs instances of the stand-in upstream until told to stop.
 #include <cstdio>
-#include <exception>
 
 #include "fake_upstream.h"
 #include "flags.h"
@@ -64,10 +63,5 @@
 }  // namespace tarragondrift
 
 int main(int argc, char** argv) {
-  try {
-    return tarragondrift::RunProgram(argc, argv);
-  } catch (const std::exception& error) {
-    std::fprintf(stderr, "event=failed cause=\"%s\"\n", error.what());
-    return 2;
-  }
+  return tarragondrift::RunGuarded(argc, argv, tarragondrift::RunProgram);
 }
--- a/packages/fakes/src/flags.cc
+++ b/packages/fakes/src/flags.cc
@@ -4,6 +4,8 @@
 
 #include <charconv>
 #include <csignal>
+#include <cstdio>
+#include <exception>
 #include <stdexcept>
 
 namespace tarragondrift {
@@ -55,6 +57,15 @@
   return number;
 }
 
+int RunGuarded(int count, char** arguments, int (*run)(int, char**)) {
+  try {
+    return run(count, arguments);
+  } catch (const std::exception& error) {
+    std::fprintf(stderr, "event=failed cause=\"%s\"\n", error.what());
+    return 2;
+  }
+}
+
 void BlockStopSignals() {
   const sigset_t signals = StopSignals();
   pthread_sigmask(SIG_BLOCK, &signals, nullptr);
--- a/packages/fakes/src/flags.h
+++ b/packages/fakes/src/flags.h
@@ -23,6 +23,10 @@
 /// Reads a whole number; throws std::invalid_argument for other text.
 uint32_t ReadNumber(const std::string& text);
 
+/// Runs a program; what it throws is printed as one event.
+/// @return its exit code, or 2 when it threw.
+int RunGuarded(int count, char** arguments, int (*run)(int, char**));
+
 /// Blocks SIGINT and SIGTERM in this thread and those it starts.
 void BlockStopSignals();
 
