--- a/packages/bench/config/sim_table.h
+++ b/packages/bench/config/sim_table.h
@@ -10,7 +10,7 @@
 #include <vector>
 
 #include "event_loop.h"
-#include "tarragondrift/platform/table.h"
+#include "tarragondrift/ports/table.h"
 
 namespace tarragondrift::bench {
 
--- a/packages/config/include/tarragondrift/config/burn_store.h
+++ b/packages/config/include/tarragondrift/config/burn_store.h
@@ -9,7 +9,7 @@
 
 #include "tarragondrift/core/burn_base.h"
 #include "tarragondrift/core/result_code.h"
-#include "tarragondrift/platform/table.h"
+#include "tarragondrift/ports/table.h"
 
 namespace tarragondrift {
 
--- a/packages/config/include/tarragondrift/config/config_store.h
+++ b/packages/config/include/tarragondrift/config/config_store.h
@@ -11,7 +11,7 @@
 
 #include "tarragondrift/config/document_text.h"
 #include "tarragondrift/core/result_code.h"
-#include "tarragondrift/platform/table.h"
+#include "tarragondrift/ports/table.h"
 
 namespace tarragondrift {
 
--- a/packages/config/test/memory_table.h
+++ b/packages/config/test/memory_table.h
@@ -9,7 +9,7 @@
 #include <utility>
 #include <vector>
 
-#include "tarragondrift/platform/table.h"
+#include "tarragondrift/ports/table.h"
 
 namespace tarragondrift {
 
--- a/packages/daemon/src/config_api.h
+++ b/packages/daemon/src/config_api.h
@@ -3,7 +3,7 @@
 #define TARRAGONDRIFT_DAEMON_CONFIG_API_H_
 
 #include "tarragondrift/gate/http_server.h"
-#include "tarragondrift/platform/table.h"
+#include "tarragondrift/ports/table.h"
 
 namespace tarragondrift {
 
--- a/packages/daemon/src/config_loader.h
+++ b/packages/daemon/src/config_loader.h
@@ -14,7 +14,7 @@
 #include "tarragondrift/config/config_store.h"
 #include "tarragondrift/core/config_news_base.h"
 #include "tarragondrift/link/peer_messages.h"
-#include "tarragondrift/platform/table.h"
+#include "tarragondrift/ports/table.h"
 
 namespace tarragondrift {
 
--- a/packages/daemon/src/entry_registry.h
+++ b/packages/daemon/src/entry_registry.h
@@ -11,7 +11,7 @@
 
 #include "tarragondrift/core/submission_base.h"
 #include "tarragondrift/core/time_base.h"
-#include "tarragondrift/platform/table.h"
+#include "tarragondrift/ports/table.h"
 
 namespace tarragondrift {
 
--- a/packages/daemon/src/metrics.cc
+++ b/packages/daemon/src/metrics.cc
@@ -156,7 +156,7 @@
   counter("tarragondrift_upstream_requests_total", upstreams.requests);
   counter("tarragondrift_upstream_connections_total", upstreams.connections);
   counter("tarragondrift_peer_messages_total", messages_.peers.load());
-  counter("tarragondrift_platform_messages_total", messages_.platform.load());
+  counter("tarragondrift_ports_messages_total", messages_.platform.load());
   const std::scoped_lock lock(mutex_);
   page += "# TYPE tarragondrift_answers_total counter\n";
   for (const auto& [code, count] : answers_) {
--- a/packages/daemon/src/operators_api.h
+++ b/packages/daemon/src/operators_api.h
@@ -9,7 +9,7 @@
 #include "engine_events.h"
 #include "entry_registry.h"
 #include "tarragondrift/gate/http_server.h"
-#include "tarragondrift/platform/table.h"
+#include "tarragondrift/ports/table.h"
 
 namespace tarragondrift {
 
--- a/packages/daemon/src/outside.h
+++ b/packages/daemon/src/outside.h
@@ -17,7 +17,7 @@
 #include "store_worker.h"
 #include "tarragondrift/gate/upstream_client.h"
 #include "tarragondrift/link/peer_client.h"
-#include "tarragondrift/platform/table.h"
+#include "tarragondrift/ports/table.h"
 
 namespace tarragondrift {
 
--- a/packages/daemon/src/platform_poller.h
+++ b/packages/daemon/src/platform_poller.h
@@ -13,8 +13,8 @@
 #include "entry_registry.h"
 #include "metrics.h"
 #include "repeating_thread.h"
-#include "tarragondrift/platform/instances.h"
-#include "tarragondrift/platform/table.h"
+#include "tarragondrift/ports/instances.h"
+#include "tarragondrift/ports/table.h"
 
 namespace tarragondrift {
 
--- a/packages/daemon/src/process.cc
+++ b/packages/daemon/src/process.cc
@@ -9,7 +9,7 @@
 #include "tarragondrift/config/burn_store.h"
 #include "tarragondrift/gate/callers_api.h"
 #include "tarragondrift/gate/limits.h"
-#include "tarragondrift/platform/clients.h"
+#include "tarragondrift/ports/clients.h"
 
 namespace tarragondrift {
 namespace {
--- a/packages/daemon/src/process.h
+++ b/packages/daemon/src/process.h
@@ -17,8 +17,8 @@
 #include "settings.h"
 #include "tarragondrift/gate/http_server.h"
 #include "tarragondrift/link/peer_server.h"
-#include "tarragondrift/platform/instances.h"
-#include "tarragondrift/platform/table.h"
+#include "tarragondrift/ports/instances.h"
+#include "tarragondrift/ports/table.h"
 
 namespace tarragondrift {
 
--- a/packages/daemon/src/store_rows.h
+++ b/packages/daemon/src/store_rows.h
@@ -8,7 +8,7 @@
 #include "tarragondrift/core/entry_base.h"
 #include "tarragondrift/core/key_owner_base.h"
 #include "tarragondrift/core/record_group_base.h"
-#include "tarragondrift/platform/table.h"
+#include "tarragondrift/ports/table.h"
 
 namespace tarragondrift {
 
--- a/packages/daemon/src/store_worker.h
+++ b/packages/daemon/src/store_worker.h
@@ -13,7 +13,7 @@
 #include "engine_events.h"
 #include "mailbox.h"
 #include "tarragondrift/core/record_group_cmd.h"
-#include "tarragondrift/platform/table.h"
+#include "tarragondrift/ports/table.h"
 
 namespace tarragondrift {
 
--- a/packages/fakes/test/fake_platform_test.cc
+++ b/packages/fakes/test/fake_platform_test.cc
@@ -5,7 +5,7 @@
 #include <nlohmann/json.hpp>
 #include <string>
 
-#include "tarragondrift/platform/http_client.h"
+#include "tarragondrift/ports/http_client.h"
 
 namespace tarragondrift {
 namespace {
--- a/packages/fakes/test/fake_upstream_test.cc
+++ b/packages/fakes/test/fake_upstream_test.cc
@@ -8,7 +8,7 @@
 #include <thread>
 #include <vector>
 
-#include "tarragondrift/platform/http_client.h"
+#include "tarragondrift/ports/http_client.h"
 
 namespace tarragondrift {
 namespace {
--- /dev/null
+++ b/packages/fleet/include/tarragondrift/fleet/engine_base.h
@@ -0,0 +1,182 @@
+// The state of an entry that controls workers, and what it asks to be done.
+#ifndef TARRAGONDRIFT_FLEET_ENGINE_BASE_H_
+#define TARRAGONDRIFT_FLEET_ENGINE_BASE_H_
+
+#include <chrono>
+#include <cstdint>
+#include <map>
+#include <memory>
+#include <optional>
+#include <set>
+#include <string>
+#include <unordered_map>
+#include <variant>
+#include <vector>
+
+#include "tarragondrift/core/pool.h"
+#include "tarragondrift/core/result_code.h"
+#include "tarragondrift/core/time_base.h"
+#include "tarragondrift/fleet/fleet_options_base.h"
+#include "tarragondrift/fleet/job_base.h"
+#include "tarragondrift/fleet/peer_base.h"
+#include "tarragondrift/fleet/queue_config_base.h"
+#include "tarragondrift/fleet/runtime_base.h"
+#include "tarragondrift/fleet/worker_base.h"
+
+namespace tarragondrift::fleet {
+
+/// Where a worker is reached, and which life of it is meant.
+struct worker_target {
+  std::string id;
+  std::string address;
+};
+
+/// Orders a worker to start a run.
+struct start_order {
+  worker_target target;
+  run_name name;
+  std::string payload;
+  int64_t lease_until_ms = 0;
+  uint64_t fence = 0;
+};
+
+/// Orders a worker to stop a run.
+struct stop_order {
+  worker_target target;
+  run_name name;
+  uint64_t fence = 0;
+};
+
+/// Renews the lease of everything at a worker and waits for ends.
+struct hold_order {
+  worker_target target;
+  uint64_t number = 0;
+  uint64_t fence = 0;
+  /// Ends up to this one are taken note of.
+  uint64_t last_seen = 0;
+  /// Unset while the worker's clock is not known.
+  std::optional<int64_t> lease_until_ms;
+  std::chrono::milliseconds wait{0};
+};
+
+/// Answers a caller; `request` is the number it came with.
+struct caller_answer {
+  uint64_t request = 0;
+  result_code code = result_code::kOk;
+  std::chrono::milliseconds retry_after{0};
+};
+
+/// Sends an envelope; its delivery is reported back.
+struct peer_send {
+  std::string address;
+  envelope content;
+};
+
+/// Writes this entry's row, or deletes it when it leaves.
+struct row_write {
+  bool remove = false;
+};
+
+/// A decision for the log: "event=NAME key=value ...".
+struct log_note {
+  bool warning = false;
+  std::string line;
+};
+
+using action = std::variant<start_order, stop_order, hold_order, caller_answer,
+                            peer_send, row_write, log_note>;
+
+enum class job_part_phase : uint8_t { kOffered, kDone, kRefused, kCancelled };
+
+/// A part of a job as the job's home sees it.
+struct job_part {
+  uint64_t controller = 0;
+  uint32_t first = 0;
+  uint32_t count = 0;
+  job_part_phase phase = job_part_phase::kOffered;
+  bool started = false;
+  uint32_t offers = 1;
+};
+
+/// A job that a caller waits for.
+struct caller_job {
+  uint64_t request = 0;
+  std::string queue;
+  job_spec spec;
+  instant arrived;
+  instant objective;
+  instant deadline;
+  std::vector<job_part> parts;
+  /// Set once it can't succeed; the answer waits only for word whether a task
+  /// was started.
+  std::optional<result_code> verdict;
+  std::chrono::milliseconds retry_after{0};
+  instant verdict_at;
+};
+
+/// Place of a queued task in the order of service.
+struct queue_key {
+  /// Work that can be on time goes before work that is late anyway.
+  bool late = false;
+  /// Latest start that is on time.
+  instant latest_start;
+  part_id part;
+  uint32_t task = 0;
+
+  auto operator<=>(const queue_key&) const = default;
+};
+
+/// Counts for the metrics page.
+struct engine_counts {
+  uint64_t jobs = 0;
+  uint64_t starts = 0;
+  uint64_t starts_refused = 0;
+  uint64_t starts_unknown = 0;
+  uint64_t ends_done = 0;
+  uint64_t ends_failed = 0;
+  uint64_t ends_other = 0;
+  uint64_t stalls = 0;
+  uint64_t acquired = 0;
+  uint64_t lost = 0;
+  std::map<result_code, uint64_t> answers;
+};
+
+/// Everything that an entry knows; commands change it, with the time given.
+struct engine {
+  fleet_options options;
+  entry_identity self;
+  instant started;
+  bool leaving = false;
+  std::shared_ptr<const fleet_config> config;
+  /// The configuration as the operator wrote it, for peers that miss it.
+  std::string config_text;
+
+  std::map<std::string, worker> workers;
+  std::map<uint64_t, peer> peers;
+
+  /// Parts that this entry carries out.
+  pool<part, part_id> parts;
+  std::map<std::pair<uint64_t, part_ref>, part_id> part_index;
+  std::set<queue_key> queue;
+  runtime_table runtimes;
+  /// Smoothed cpu of the tasks placed here, for load reports.
+  double mean_cpu_milli = 0;
+
+  /// Jobs that callers of this entry wait for.
+  std::map<uint64_t, caller_job> jobs;
+  uint64_t last_job = 0;
+  std::unordered_map<std::string, uint64_t> job_by_id;
+  std::map<std::string, instant> cancelled;
+
+  instant next_beat;
+  instant next_control;
+  bool dispatch_due = false;
+  /// Messages of this entry to itself.
+  std::vector<peer_message> loopback;
+  engine_counts counts;
+  std::vector<action> out;
+};
+
+}  // namespace tarragondrift::fleet
+
+#endif  // TARRAGONDRIFT_FLEET_ENGINE_BASE_H_
--- /dev/null
+++ b/packages/fleet/include/tarragondrift/fleet/fleet_options_base.h
@@ -0,0 +1,86 @@
+// Limits and intervals of an entry that controls workers.
+#ifndef TARRAGONDRIFT_FLEET_FLEET_OPTIONS_BASE_H_
+#define TARRAGONDRIFT_FLEET_FLEET_OPTIONS_BASE_H_
+
+#include <chrono>
+#include <cstddef>
+#include <cstdint>
+
+namespace tarragondrift::fleet {
+
+using std::chrono::milliseconds;
+
+/// Defaults suit workers that grant leases of a second and callers that send a
+/// failed job again after 1.3 s: whatever a lost entry started must have ended
+/// by then (docs/design/users_platform.md has the sum).
+struct fleet_options {
+  /// Lease that each order asks for; below the most that workers grant.
+  milliseconds lease{900};
+  /// How much slower than ours a worker's clock may run, in percent.
+  uint32_t clock_error_percent = 2;
+  /// Added to a lease's end for the way of the order and rounding.
+  milliseconds lease_margin{30};
+  /// How long a worker may keep a hold open; three fit into a lease.
+  milliseconds hold_wait{250};
+  /// No answer to a hold for this long beyond its wait: it is sent again.
+  milliseconds hold_timeout{200};
+  /// No answer to a start or stop for this long: its outcome is unknown.
+  milliseconds order_timeout{150};
+  /// Longest time that a worker takes to stop a task.
+  milliseconds stop_time{50};
+  /// How long a worker that said "no room" gets nothing.
+  milliseconds full_pause{30};
+  /// Pause between attempts to get control of a worker.
+  milliseconds acquire_pause{200};
+  /// A worker that vanished from the list and stays away is gone.
+  milliseconds unlisted_limit{2'000};
+
+  /// Runs in a row that go wrong until a worker gets no work for a while;
+  /// single failures are the tasks' own (two in a thousand).
+  uint32_t most_strikes = 3;
+  /// First time without work after that; it doubles up to the longest.
+  milliseconds first_ejection{1'000};
+  milliseconds longest_ejection{8'000};
+  /// A run that takes this many times the expected time and the slack stands
+  /// still; runs spread by 40% and the slowest sound workers take 1.25 times.
+  double stall_factor = 4.0;
+  milliseconds stall_slack{250};
+
+  /// Interval of beats to each peer.
+  milliseconds beat_interval{250};
+  /// Peers up to which that interval holds; with more it grows, so that beats
+  /// stay within a thin link.
+  uint32_t peers_at_beat_interval = 12;
+  /// Nothing heard for this long (at the base interval): the peer is cut off
+  /// or dead. Three beats and their way.
+  milliseconds silence_limit{900};
+  /// A peer that was silent for this long is forgotten.
+  milliseconds forget_limit{30'000};
+  /// After its start an entry listens this long before it takes workers.
+  milliseconds settle_time{1'000};
+
+  /// Workers of a data centre that one entry controls at most, while it has
+  /// entries enough: 250 orders and ends a second at 2 to 3 runs a worker.
+  uint32_t workers_per_controller = 40;
+  /// Share of the held workers that may be handed over at once, as a divisor;
+  /// workers stand empty while their last runs end.
+  uint32_t release_divisor = 3;
+
+  /// Queued tasks that one placement pass looks at.
+  size_t placement_window = 64;
+  /// Offers of one part before it is refused.
+  uint32_t most_offers = 3;
+  /// Jobs held for callers at once; more are refused (about 5 KB each).
+  size_t most_jobs = 2'000;
+  /// A job's tasks over all steps; the largest users' jobs have 1,300.
+  uint32_t most_tasks = 2'000;
+  /// Least and longest time after which refused callers come back.
+  milliseconds shortest_retry{1'000};
+  milliseconds longest_retry{10'000};
+  /// How long a cancelled job's id is remembered, for copies on their way.
+  milliseconds cancel_memory{10'000};
+};
+
+}  // namespace tarragondrift::fleet
+
+#endif  // TARRAGONDRIFT_FLEET_FLEET_OPTIONS_BASE_H_
--- /dev/null
+++ b/packages/fleet/include/tarragondrift/fleet/job_base.h
@@ -0,0 +1,141 @@
+// Jobs of sized tasks, and the parts of them that controllers carry out.
+#ifndef TARRAGONDRIFT_FLEET_JOB_BASE_H_
+#define TARRAGONDRIFT_FLEET_JOB_BASE_H_
+
+#include <chrono>
+#include <compare>
+#include <cstdint>
+#include <string>
+#include <vector>
+
+#include "tarragondrift/core/pool.h"
+#include "tarragondrift/core/result_code.h"
+#include "tarragondrift/core/time_base.h"
+#include "tarragondrift/fleet/resources_base.h"
+
+namespace tarragondrift::fleet {
+
+/// Tasks of one kind within a job.
+struct step_spec {
+  uint32_t count = 0;
+  resources need;
+  /// The submitter's guess of a task's running time.
+  std::chrono::milliseconds estimate{0};
+  /// Earlier steps whose tasks must all be done first.
+  std::vector<uint32_t> after;
+  /// Rack that holds the data; empty when any will do.
+  std::string near_rack;
+  /// Label that the worker must carry; empty when any will do.
+  std::string label;
+  /// Most tasks of the step on one worker at a time; 0 is no limit.
+  uint32_t most_per_worker = 0;
+};
+
+/// A job as its caller described it.
+struct job_spec {
+  /// Chosen by the caller.
+  std::string id;
+  /// Handed to workers as it came.
+  std::string payload;
+  std::vector<step_spec> steps;
+};
+
+/// Names one task of a job.
+struct task_name {
+  std::string job;
+  uint32_t step = 0;
+  uint32_t index = 0;
+
+  auto operator<=>(const task_name&) const = default;
+};
+
+/// Names one run of a task; runs of a task are numbered from 1 and rise.
+struct run_name {
+  task_name task;
+  uint32_t run = 0;
+
+  auto operator<=>(const run_name&) const = default;
+};
+
+/// Names a part of a job at the entry that holds the job.
+struct part_ref {
+  uint64_t job = 0;
+  uint32_t part = 0;
+
+  auto operator<=>(const part_ref&) const = default;
+};
+
+/// A part of a job, offered to the controller of some workers: the tasks
+/// `first` to `first + count - 1` of a job of one step, or a whole job.
+struct part_offer {
+  part_ref ref;
+  std::string queue;
+  /// The queue's settings at its home, which may be newer than the
+  /// controller's.
+  std::string upstream;
+  uint32_t priority = 0;
+  uint32_t attempts = 1;
+  job_spec job;
+  uint32_t first = 0;
+  uint32_t count = 0;
+  /// Time left until an answer is late, and until it is of no use.
+  std::chrono::milliseconds objective_left{0};
+  std::chrono::milliseconds deadline_left{0};
+};
+
+/// How a part ended.
+struct part_result {
+  part_ref ref;
+  /// kOk, kTaskFailed, kDeadlineExceeded, kCancelledAfterStart, or one of the
+  /// refusals that promise that nothing was run.
+  result_code code = result_code::kOk;
+  /// Whether any order to start a task of it may have reached a worker.
+  bool started = false;
+  /// When a refused part may be offered again.
+  std::chrono::milliseconds retry_after{0};
+};
+
+enum class task_phase : uint8_t { kBlocked, kQueued, kPlaced, kDone };
+
+/// One task at its controller.
+struct task {
+  uint32_t step = 0;
+  uint32_t index = 0;
+  task_phase phase = task_phase::kBlocked;
+  /// Number of the newest run.
+  uint32_t run = 0;
+  /// Runs that ended as failed.
+  uint32_t failed = 0;
+  /// The worker of the newest run.
+  std::string worker;
+  /// The worker of the last run that went wrong; avoided by the next one.
+  std::string avoid;
+};
+
+struct part_tag;
+using part_id = typed_id<part_tag>;
+
+/// A part at its controller.
+struct part {
+  part_ref ref;
+  /// Incarnation of the entry that holds the job.
+  uint64_t home = 0;
+  std::string queue;
+  std::string upstream;
+  uint32_t priority = 0;
+  uint32_t attempts = 1;
+  job_spec job;
+  std::vector<task> tasks;
+  /// Tasks that are not done.
+  uint32_t left = 0;
+  /// A worker accepted a task of it, or may have.
+  bool started = false;
+  instant arrived;
+  /// Until then an answer is on time.
+  instant objective;
+  instant deadline;
+};
+
+}  // namespace tarragondrift::fleet
+
+#endif  // TARRAGONDRIFT_FLEET_JOB_BASE_H_
--- /dev/null
+++ b/packages/fleet/include/tarragondrift/fleet/ownership_cmd.h
@@ -0,0 +1,36 @@
+// Which entry should control which worker.
+#ifndef TARRAGONDRIFT_FLEET_OWNERSHIP_CMD_H_
+#define TARRAGONDRIFT_FLEET_OWNERSHIP_CMD_H_
+
+#include <cstddef>
+#include <cstdint>
+#include <string>
+#include <string_view>
+#include <vector>
+
+namespace tarragondrift::fleet {
+
+/// An entry that may control workers.
+struct controller_candidate {
+  uint64_t incarnation = 0;
+  std::string name;
+  std::string data_centre;
+};
+
+/// Chooses the controllers of one data centre's workers: as few of its own
+/// entries as can carry them, or of all entries where it has none. Every entry
+/// with the same view chooses the same.
+std::vector<controller_candidate> ChooseControllers(
+    const std::vector<controller_candidate>& entries,
+    std::string_view data_centre, size_t workers, size_t per_controller);
+
+/// Chooses the controller of one worker by rendezvous hashing, so that a
+/// change among the controllers moves few workers.
+/// @return nullptr when there are none.
+const controller_candidate* ChooseController(
+    const std::vector<controller_candidate>& controllers,
+    std::string_view worker);
+
+}  // namespace tarragondrift::fleet
+
+#endif  // TARRAGONDRIFT_FLEET_OWNERSHIP_CMD_H_
--- /dev/null
+++ b/packages/fleet/include/tarragondrift/fleet/placement_cmd.h
@@ -0,0 +1,31 @@
+// Answers tight packing: which worker a sized task goes to.
+#ifndef TARRAGONDRIFT_FLEET_PLACEMENT_CMD_H_
+#define TARRAGONDRIFT_FLEET_PLACEMENT_CMD_H_
+
+#include <string>
+
+#include "tarragondrift/fleet/engine_base.h"
+
+namespace tarragondrift::fleet {
+
+/// Tells whether a worker that is held takes new runs now.
+bool TakesStarts(const engine& state, const worker& one, instant now);
+
+/// Gives the room that is free at a worker.
+resources FreeRoom(const worker& one);
+
+/// Chooses the worker whose room a task fills best; a rack with its data
+/// first.
+/// @return nullptr when it fits nowhere now.
+worker* ChooseWorker(engine& state, const part& owner, const task& placed,
+                     instant now);
+
+/// Tells whether any worker that is held could ever run the task.
+bool CouldRun(const engine& state, const part& owner, const step_spec& step);
+
+/// Reports room and backlog at the workers held here.
+load_table ReportLoad(const engine& state, instant now);
+
+}  // namespace tarragondrift::fleet
+
+#endif  // TARRAGONDRIFT_FLEET_PLACEMENT_CMD_H_
--- /dev/null
+++ b/packages/fleet/include/tarragondrift/fleet/spread_cmd.h
@@ -0,0 +1,45 @@
+// Answers uneven load: how the tasks of a job are spread over controllers, and
+// which jobs are refused at once because no spread of them can be on time.
+#ifndef TARRAGONDRIFT_FLEET_SPREAD_CMD_H_
+#define TARRAGONDRIFT_FLEET_SPREAD_CMD_H_
+
+#include <chrono>
+#include <cstdint>
+#include <vector>
+
+#include "tarragondrift/fleet/peer_base.h"
+
+namespace tarragondrift::fleet {
+
+/// A controller that could carry tasks.
+struct spread_candidate {
+  uint64_t controller = 0;
+  load_report load;
+  /// Tasks of the job given to it.
+  uint32_t given = 0;
+  /// Added to its wait: another data centre costs a round trip, and one more
+  /// controller another message.
+  std::chrono::microseconds penalty{0};
+};
+
+/// Predicts how long the last of `tasks` more tasks with the given slack waits
+/// for its start.
+std::chrono::microseconds PredictWait(const load_report& load, uint32_t tasks,
+                                      std::chrono::microseconds slack);
+
+/// Spreads tasks so that the longest wait is short and few controllers are
+/// used; fills in `given`.
+/// @return the longest predicted wait.
+std::chrono::microseconds SpreadTasks(std::vector<spread_candidate>& candidates,
+                                      uint32_t tasks,
+                                      std::chrono::microseconds slack);
+
+/// Picks when refused callers should come back: after the predicted wait,
+/// within the limits.
+std::chrono::milliseconds RetryAfter(std::chrono::microseconds wait,
+                                     std::chrono::milliseconds shortest,
+                                     std::chrono::milliseconds longest);
+
+}  // namespace tarragondrift::fleet
+
+#endif  // TARRAGONDRIFT_FLEET_SPREAD_CMD_H_
--- /dev/null
+++ b/packages/fleet/src/engine_cmd.cc
@@ -0,0 +1,114 @@
+#include "tarragondrift/fleet/engine_cmd.h"
+
+#include <algorithm>
+
+#include "tarragondrift/fleet/caller_cmd.h"
+#include "tarragondrift/fleet/part_cmd.h"
+#include "tarragondrift/fleet/peer_cmd.h"
+#include "tarragondrift/fleet/worker_cmd.h"
+
+namespace tarragondrift::fleet {
+namespace {
+
+/// Interval at which control of workers is looked at.
+constexpr milliseconds kControlInterval{100};
+
+}  // namespace
+
+engine MakeEngine(const fleet_options& options, const entry_identity& self,
+                  instant now) {
+  engine state;
+  state.options = options;
+  state.self = self;
+  state.started = now;
+  state.next_beat = now;
+  state.next_control = now;
+  return state;
+}
+
+bool ApplyConfig(engine& state, std::shared_ptr<const fleet_config> config,
+                 std::string text, instant now) {
+  if (state.config && config->version <= state.config->version) {
+    return false;
+  }
+  note_line line("config_applied");
+  line.With("version", static_cast<int64_t>(config->version))
+      .With("before",
+            static_cast<int64_t>(state.config ? state.config->version : 0))
+      .With("queues", static_cast<int64_t>(config->queues.size()));
+  Note(state, line);
+  state.config = std::move(config);
+  state.config_text = std::move(text);
+  // Peers that are cut off from the store learn of it with the next beat.
+  state.next_beat = now;
+  return true;
+}
+
+void BeginLeaving(engine& state, instant now) {
+  state.leaving = true;
+  state.next_beat = now;
+  state.next_control = now;
+  state.out.emplace_back(row_write{.remove = true});
+  note_line line("leaving");
+  line.With("jobs", static_cast<int64_t>(state.jobs.size()))
+      .With("parts", static_cast<int64_t>(state.parts.size()));
+  Note(state, line);
+}
+
+bool HasLeft(const engine& state) {
+  return state.leaving && state.jobs.empty() && state.parts.size() == 0 &&
+         std::none_of(state.workers.begin(), state.workers.end(),
+                      [](const auto& entry) {
+                        return entry.second.phase != control_phase::kNotOurs;
+                      });
+}
+
+bool IsReady(const engine& state) {
+  if (state.leaving || !state.config) {
+    return false;
+  }
+  const bool own = std::any_of(
+      state.workers.begin(), state.workers.end(), [](const auto& entry) {
+        return entry.second.phase == control_phase::kHeld;
+      });
+  return own || std::any_of(state.peers.begin(), state.peers.end(),
+                            [](const auto& entry) {
+                              return Usable(entry.second) &&
+                                     !entry.second.load.empty();
+                            });
+}
+
+void Tick(engine& state, instant now) {
+  if (now >= state.next_control) {
+    state.next_control = now + kControlInterval;
+    ControlWorkers(state, now);
+    std::erase_if(state.cancelled, [&](const auto& entry) {
+      return now - entry.second > state.options.cancel_memory;
+    });
+  }
+  TickWorkers(state, now);
+  ExpireParts(state, now);
+  ExpireJobs(state, now);
+  TickPeers(state, now);
+  // Pauses of workers may be over.
+  state.dispatch_due = state.dispatch_due || !state.queue.empty();
+}
+
+void Settle(engine& state, instant now) {
+  FlushPeers(state, now);
+  if (state.dispatch_due) {
+    state.dispatch_due = false;
+    Dispatch(state, now);
+    FlushPeers(state, now);
+  }
+}
+
+std::vector<action> TakeActions(engine& state) {
+  return std::exchange(state.out, {});
+}
+
+void Note(engine& state, note_line& line, bool warning) {
+  state.out.emplace_back(log_note{.warning = warning, .line = line.Take()});
+}
+
+}  // namespace tarragondrift::fleet
--- /dev/null
+++ b/packages/fleet/src/peer_cmd.cc
@@ -0,0 +1,282 @@
+#include "tarragondrift/fleet/peer_cmd.h"
+
+#include <algorithm>
+#include <utility>
+
+#include "tarragondrift/fleet/caller_cmd.h"
+#include "tarragondrift/fleet/engine_cmd.h"
+#include "tarragondrift/fleet/part_cmd.h"
+#include "tarragondrift/fleet/placement_cmd.h"
+
+namespace tarragondrift::fleet {
+namespace {
+
+beat MakeBeat(const engine& state) {
+  beat made{.from = state.self,
+            .leaving = state.leaving,
+            .config_version = state.config ? state.config->version : 0};
+  for (const auto& [id, one] : state.workers) {
+    if (one.phase != control_phase::kNotOurs) {
+      made.claims.push_back({.worker = id, .fence = one.fence});
+    }
+  }
+  return made;
+}
+
+/// Interval of beats, longer where many peers would make them costly.
+milliseconds BeatInterval(const engine& state) {
+  const auto peers = static_cast<int64_t>(state.peers.size());
+  const auto base = static_cast<int64_t>(state.options.peers_at_beat_interval);
+  const milliseconds interval = state.options.beat_interval;
+  return peers <= base ? interval : interval * peers / base;
+}
+
+void NotePeer(engine& state, const char* event, const peer& one,
+              const char* why, instant now) {
+  note_line line(event);
+  line.With("peer", one.identity.name)
+      .With("incarnation", static_cast<int64_t>(one.identity.incarnation))
+      .With("unheard_ms",
+            one.heard_ever
+                ? std::chrono::floor<milliseconds>(now - one.heard).count()
+                : -1)
+      .With("why", why);
+  Note(state, line, true);
+}
+
+/// Drops everything that this entry and a peer do for each other.
+void Break(engine& state, peer& one, instant now) {
+  const uint64_t incarnation = one.identity.incarnation;
+  ++one.stream_out;
+  one.outbox.clear();
+  CancelPartsOf(state, incarnation, now);
+  LosePartsAt(state, incarnation, now);
+}
+
+void FallSilent(engine& state, peer& one, const char* why, instant now) {
+  if (one.silent) {
+    return;
+  }
+  one.silent = true;
+  NotePeer(state, "peer_silent", one, why, now);
+  Break(state, one, now);
+}
+
+void OnBeat(engine& state, peer& one, const beat& received, instant now) {
+  one.identity = received.from;
+  if (one.leaving != received.leaving) {
+    one.leaving = received.leaving;
+    NotePeer(state, "peer_leaving", one, "told", now);
+  }
+  one.config_version = received.config_version;
+  one.claims.clear();
+  for (const worker_claim& claim : received.claims) {
+    one.claims[claim.worker] = claim.fence;
+    const auto at = state.workers.find(claim.worker);
+    if (at != state.workers.end()) {
+      at->second.highest_fence =
+          std::max(at->second.highest_fence, claim.fence);
+    }
+  }
+  if (state.config && received.config_version < state.config->version) {
+    SendTo(state, one.identity.incarnation,
+           config_news{.version = state.config->version,
+                       .text = state.config_text},
+           now);
+  }
+}
+
+/// Handles one message of a peer or of this entry itself. News of the
+/// configuration are decoded by the process before they come here.
+void Handle(engine& state, uint64_t from, const peer_message& message,
+            instant now) {
+  if (const auto* offer = std::get_if<part_offer>(&message)) {
+    AcceptPart(state, from, *offer, now);
+  } else if (const auto* cancel = std::get_if<part_cancel>(&message)) {
+    CancelPart(state, from, cancel->ref, true, now);
+  } else if (const auto* result = std::get_if<part_result>(&message)) {
+    OnPartResult(state, from, *result, now);
+  } else if (const auto* job = std::get_if<job_cancel>(&message)) {
+    state.cancelled[job->job] = now;
+    CancelPartsOfJob(state, job->job, now);
+  } else if (const auto* received = std::get_if<beat>(&message)) {
+    const auto at = state.peers.find(from);
+    if (at != state.peers.end()) {
+      OnBeat(state, at->second, *received, now);
+    }
+  }
+}
+
+/// A process that restarted replaced the one of the same name.
+void RetireOlder(engine& state, const entry_identity& newer, instant now) {
+  for (auto& [incarnation, one] : state.peers) {
+    if (one.identity.name == newer.name && incarnation < newer.incarnation) {
+      FallSilent(state, one, "restarted", now);
+      one.claims.clear();
+    }
+  }
+  std::erase_if(state.peers, [&newer](const auto& entry) {
+    return entry.second.identity.name == newer.name &&
+           entry.first < newer.incarnation && !entry.second.in_flight;
+  });
+}
+
+}  // namespace
+
+bool Usable(const peer& one) { return !one.silent && !one.leaving; }
+
+void FindPeer(engine& state, const entry_identity& identity, instant now) {
+  if (identity.incarnation == state.self.incarnation ||
+      identity.name == state.self.name) {
+    return;
+  }
+  RetireOlder(state, identity, now);
+  auto [at, added] = state.peers.try_emplace(identity.incarnation);
+  at->second.identity = identity;
+  if (added) {
+    at->second.found = now;
+    state.next_beat = now;
+    note_line line("peer_found");
+    line.With("peer", identity.name)
+        .With("address", identity.address)
+        .With("incarnation", static_cast<int64_t>(identity.incarnation));
+    Note(state, line);
+  }
+}
+
+void DropPeerRow(engine& state, const std::string& name, instant now) {
+  for (auto& [incarnation, one] : state.peers) {
+    if (one.identity.name == name && !one.heard_ever) {
+      one.found = now - state.options.forget_limit;
+    }
+  }
+}
+
+bool OnEnvelope(engine& state, const envelope& received, instant now) {
+  if (received.to != state.self.incarnation) {
+    return false;
+  }
+  if (!state.peers.contains(received.from)) {
+    for (const peer_message& message : received.messages) {
+      if (const auto* first = std::get_if<beat>(&message)) {
+        FindPeer(state, first->from, now);
+      }
+    }
+  }
+  const auto at = state.peers.find(received.from);
+  if (at == state.peers.end()) {
+    return true;
+  }
+  peer& one = at->second;
+  if (one.heard_ever && one.stream_in != received.stream && !one.silent) {
+    NotePeer(state, "peer_lost_track", one, "new_stream", now);
+    CancelPartsOf(state, received.from, now);
+    LosePartsAt(state, received.from, now);
+  }
+  if (one.silent) {
+    NotePeer(state, "peer_heard", one, "message", now);
+    one.silent = false;
+  }
+  one.heard_ever = true;
+  one.heard = now;
+  one.stream_in = received.stream;
+  one.load = received.load;
+  for (const peer_message& message : received.messages) {
+    Handle(state, received.from, message, now);
+  }
+  return true;
+}
+
+void OnDelivery(engine& state, uint64_t incarnation, delivery outcome,
+                instant now) {
+  const auto at = state.peers.find(incarnation);
+  if (at == state.peers.end()) {
+    return;
+  }
+  peer& one = at->second;
+  one.in_flight = false;
+  if (outcome == delivery::kOtherProcess) {
+    FallSilent(state, one, "other_process", now);
+    one.claims.clear();
+    one.heard = now - state.options.forget_limit;
+  } else if (outcome == delivery::kLost && one.in_flight_matters) {
+    NotePeer(state, "peer_delivery_lost", one, "no_answer", now);
+    Break(state, one, now);
+  }
+}
+
+void SendTo(engine& state, uint64_t incarnation, peer_message message,
+            instant now) {
+  (void)now;
+  if (incarnation == state.self.incarnation) {
+    state.loopback.push_back(std::move(message));
+    return;
+  }
+  const auto at = state.peers.find(incarnation);
+  if (at != state.peers.end()) {
+    at->second.outbox.push_back(std::move(message));
+  }
+}
+
+void TickPeers(engine& state, instant now) {
+  const milliseconds interval = BeatInterval(state);
+  const milliseconds silence =
+      state.options.silence_limit + 2 * (interval - state.options.beat_interval);
+  for (auto& [incarnation, one] : state.peers) {
+    if (!one.silent && now - one.heard > silence) {
+      FallSilent(state, one, "no_beat", now);
+    }
+  }
+  std::erase_if(state.peers, [&](const auto& entry) {
+    const peer& one = entry.second;
+    const instant last = one.heard_ever ? one.heard : one.found;
+    return one.silent && !one.in_flight &&
+           now - last >= state.options.forget_limit;
+  });
+  if (now < state.next_beat) {
+    return;
+  }
+  state.next_beat = now + interval;
+  for (auto& [incarnation, one] : state.peers) {
+    if (one.outbox.empty() || !std::holds_alternative<beat>(one.outbox[0])) {
+      one.outbox.insert(one.outbox.begin(), MakeBeat(state));
+    } else {
+      one.outbox[0] = MakeBeat(state);
+    }
+  }
+}
+
+void FlushPeers(engine& state, instant now) {
+  // Handling one may add more.
+  while (!state.loopback.empty()) {
+    const std::vector<peer_message> messages =
+        std::exchange(state.loopback, {});
+    for (const peer_message& message : messages) {
+      Handle(state, state.self.incarnation, message, now);
+    }
+  }
+  std::optional<load_table> load;
+  for (auto& [incarnation, one] : state.peers) {
+    if (one.outbox.empty() || one.in_flight) {
+      continue;
+    }
+    if (!load) {
+      load = ReportLoad(state, now);
+    }
+    one.in_flight = true;
+    one.in_flight_matters =
+        std::any_of(one.outbox.begin(), one.outbox.end(),
+                    [](const peer_message& message) {
+                      return !std::holds_alternative<beat>(message);
+                    });
+    state.out.emplace_back(
+        peer_send{.address = one.identity.address,
+                  .content = {.from = state.self.incarnation,
+                              .to = incarnation,
+                              .stream = one.stream_out,
+                              .load = *load,
+                              .messages = std::exchange(one.outbox, {})}});
+  }
+}
+
+}  // namespace tarragondrift::fleet
--- /dev/null
+++ b/packages/fleet/src/worker_cmd.cc
@@ -0,0 +1,634 @@
+#include "tarragondrift/fleet/worker_cmd.h"
+
+#include <algorithm>
+#include <array>
+#include <set>
+#include <utility>
+
+#include "tarragondrift/fleet/engine_cmd.h"
+#include "tarragondrift/fleet/ownership_cmd.h"
+#include "tarragondrift/fleet/part_cmd.h"
+#include "tarragondrift/fleet/peer_cmd.h"
+#include "tarragondrift/fleet/runtime_base.h"
+
+namespace tarragondrift::fleet {
+namespace {
+
+using std::chrono::microseconds;
+
+/// Fences of one generation; the incarnation tells them apart.
+constexpr uint64_t kFencesPerGeneration = 4'096;
+constexpr int64_t kPercent = 100;
+/// Doublings of the step by which an unknown higher fence is passed.
+constexpr uint32_t kMostFenceDoublings = 16;
+/// How long a known entry that was never heard may still come up.
+constexpr milliseconds kFirstWordLimit{1'500};
+
+/// Gives a fence above `highest` that no other entry can choose.
+uint64_t NextFence(const engine& state, const worker& one) {
+  const uint64_t step =
+      uint64_t{1} << std::min(one.fence_misses, kMostFenceDoublings);
+  const uint64_t generation =
+      std::max(one.highest_fence / kFencesPerGeneration + step,
+               state.self.incarnation);
+  return generation * kFencesPerGeneration +
+         state.self.incarnation % kFencesPerGeneration;
+}
+
+worker_target TargetOf(const worker& one) {
+  return {.id = one.listing.id, .address = one.listing.address};
+}
+
+/// Estimates a worker's clock now; it may run slow, so this may be ahead.
+int64_t ClockOf(const worker& one, instant now) {
+  return one.clock_ms +
+         std::chrono::floor<milliseconds>(now - one.clock_read).count();
+}
+
+/// Gives the lease to ask for and takes note of when it is over at the latest.
+int64_t ExtendLease(engine& state, worker& one, instant now) {
+  const milliseconds lease = state.options.lease;
+  // The estimated clock may be ahead by the error since it was read.
+  const auto span = lease + std::chrono::ceil<milliseconds>(now - one.clock_read);
+  const auto longest =
+      lease +
+      span * static_cast<int64_t>(state.options.clock_error_percent) / kPercent +
+      state.options.lease_margin;
+  one.dead_by = std::max(one.dead_by, now + longest);
+  return ClockOf(one, now) + lease.count();
+}
+
+void ReadClock(worker& one, int64_t clock_ms, instant now) {
+  one.heard = now;
+  if (clock_ms > 0) {
+    one.clock_ms = clock_ms;
+    one.clock_read = now;
+  }
+}
+
+bool IsGone(const engine& state, const worker& one, instant now) {
+  return !one.listed && now - one.unlisted >= state.options.unlisted_limit;
+}
+
+/// Tells whether leases are still given: a worker that stopped answering gets
+/// none, so that whatever runs there ends.
+bool GivesLease(const engine& state, const worker& one, instant now) {
+  return one.clock_ms > 0 &&
+         now - one.heard <= state.options.hold_wait +
+                                2 * state.options.hold_timeout;
+}
+
+void SendHold(engine& state, worker& one, milliseconds wait, instant now) {
+  hold_order order{.target = TargetOf(one),
+                   .number = ++one.hold_number,
+                   .fence = one.fence,
+                   .last_seen = one.last_seen,
+                   .wait = wait};
+  if (one.phase != control_phase::kAcquiring && GivesLease(state, one, now)) {
+    order.lease_until_ms = ExtendLease(state, one, now);
+  }
+  one.hold_in_flight = true;
+  one.hold_sent = now;
+  state.out.emplace_back(std::move(order));
+}
+
+/// Ends all runs of a worker that surely runs none of them any more.
+void EndAllRuns(engine& state, worker& one, instant now) {
+  std::vector<run_name> names;
+  for (const auto& [name, run] : one.runs) {
+    names.push_back(name);
+  }
+  for (const run_name& name : names) {
+    EndRun(state, one, name, run_end::kLapsed, now);
+  }
+}
+
+void SetPhase(engine& state, worker& one, control_phase phase,
+              const char* event, const char* why) {
+  one.phase = phase;
+  // Other entries learn at once who controls the worker.
+  state.next_beat = instant{};
+  note_line line(event);
+  line.With("worker", one.listing.id)
+      .With("fence", static_cast<int64_t>(one.fence))
+      .With("runs", static_cast<int64_t>(one.runs.size()))
+      .With("why", why);
+  Note(state, line);
+}
+
+/// Takes note that another entry controls the worker now, or nobody does.
+void LoseWorker(engine& state, worker& one, const char* why, instant now) {
+  if (one.phase == control_phase::kNotOurs) {
+    return;
+  }
+  ++state.counts.lost;
+  one.hold_in_flight = false;
+  ++one.hold_number;
+  one.highest_fence = std::max(one.highest_fence, one.fence);
+  one.retry = now + state.options.acquire_pause;
+  SetPhase(state, one, control_phase::kNotOurs, "worker_lost", why);
+}
+
+/// Takes note that a worker began a new life: nothing of before is there.
+void BeginNewLife(engine& state, worker& one, int64_t born, instant now) {
+  note_line line("worker_reborn");
+  line.With("worker", one.listing.id)
+      .With("born", born)
+      .With("before", one.listing.born);
+  Note(state, line);
+  one.listing.born = born;
+  one.last_seen = 0;
+  one.clock_ms = 0;
+  one.hold_in_flight = false;
+  ++one.hold_number;
+  one.health = {};
+  EndAllRuns(state, one, now);
+  if (one.phase == control_phase::kHeld) {
+    one.phase = control_phase::kAcquiring;
+  }
+}
+
+bool ClaimedByPeer(const engine& state, const std::string& id) {
+  return std::any_of(state.peers.begin(), state.peers.end(),
+                     [&id](const auto& entry) {
+                       return !entry.second.silent &&
+                              entry.second.claims.contains(id);
+                     });
+}
+
+/// Tells whether this entry has listened long enough to know who is there.
+bool KnowsPeers(const engine& state, instant now) {
+  if (now - state.started < state.options.settle_time) {
+    return false;
+  }
+  return std::all_of(state.peers.begin(), state.peers.end(),
+                     [now](const auto& entry) {
+                       return entry.second.heard_ever ||
+                              now - entry.second.found >= kFirstWordLimit;
+                     });
+}
+
+std::vector<controller_candidate> Candidates(const engine& state) {
+  std::vector<controller_candidate> found;
+  if (!state.leaving) {
+    found.push_back({.incarnation = state.self.incarnation,
+                     .name = state.self.name,
+                     .data_centre = state.self.data_centre});
+  }
+  for (const auto& [incarnation, one] : state.peers) {
+    if (Usable(one)) {
+      found.push_back({.incarnation = incarnation,
+                       .name = one.identity.name,
+                       .data_centre = one.identity.data_centre});
+    }
+  }
+  return found;
+}
+
+void Acquire(engine& state, worker& one, instant now) {
+  one.fence = NextFence(state, one);
+  one.clock_ms = 0;
+  one.last_seen = 0;
+  SetPhase(state, one, control_phase::kAcquiring, "worker_acquiring",
+           "assigned");
+  SendHold(state, one, milliseconds{0}, now);
+}
+
+/// Moves one worker towards the entry that should control it.
+void ControlWorker(engine& state, worker& one, bool ours, bool other_usable,
+                   size_t& releasing, instant now) {
+  switch (one.phase) {
+    case control_phase::kNotOurs:
+      if (ours && one.listed && now >= one.retry && now >= one.dead_by &&
+          !ClaimedByPeer(state, one.listing.id)) {
+        Acquire(state, one, now);
+      }
+      return;
+    case control_phase::kAcquiring:
+      if (!ours) {
+        LoseWorker(state, one, "assigned_elsewhere", now);
+      }
+      return;
+    case control_phase::kHeld:
+      if (!ours && other_usable && releasing > 0) {
+        --releasing;
+        SetPhase(state, one, control_phase::kReleasing, "worker_releasing",
+                 "assigned_elsewhere");
+      }
+      return;
+    case control_phase::kReleasing:
+      if (ours) {
+        SetPhase(state, one, control_phase::kHeld, "worker_held",
+                 "assigned_back");
+      } else if (one.runs.empty()) {
+        LoseWorker(state, one, "handed_over", now);
+      }
+      return;
+  }
+}
+
+/// Workers that may be in handover at once, less those that are.
+size_t ReleaseBudget(const engine& state) {
+  size_t held = 0;
+  size_t releasing = 0;
+  for (const auto& [id, one] : state.workers) {
+    held += one.phase == control_phase::kHeld ? 1 : 0;
+    releasing += one.phase == control_phase::kReleasing ? 1 : 0;
+  }
+  const size_t most = (held + releasing + state.options.release_divisor - 1) /
+                      state.options.release_divisor;
+  return most > releasing ? most - releasing : 0;
+}
+
+void TakeEnds(engine& state, worker& one, const hold_reply& reply,
+              instant now) {
+  for (const listed_end& end : reply.ended) {
+    if (end.number > one.last_seen) {
+      one.last_seen = end.number;
+      EndRun(state, one, end.name, end.how, now);
+    }
+  }
+}
+
+/// Compares the runs that a worker lists with those ordered there.
+void TakeRunning(engine& state, worker& one, const hold_reply& reply,
+                 instant now) {
+  std::set<run_name> listed;
+  for (const listed_run& row : reply.running) {
+    listed.insert(row.name);
+    const auto at = one.runs.find(row.name);
+    if (at == one.runs.end()) {
+      // Left by an earlier controller, or carried out late.
+      state.out.emplace_back(stop_order{.target = TargetOf(one),
+                                        .name = row.name,
+                                        .fence = one.fence});
+      continue;
+    }
+    at->second.percent = row.percent;
+    if (at->second.phase == run_phase::kOrdered) {
+      at->second.phase = run_phase::kRunning;
+      at->second.confirmed = now;
+    }
+  }
+  std::vector<run_name> vanished;
+  for (const auto& [name, run] : one.runs) {
+    if (run.phase == run_phase::kRunning && run.confirmed < one.hold_sent &&
+        !listed.contains(name)) {
+      vanished.push_back(name);
+    }
+  }
+  for (const run_name& name : vanished) {
+    note_line line("run_vanished");
+    line.With("worker", one.listing.id)
+        .With("job", name.task.job)
+        .With("index", static_cast<int64_t>(name.task.index));
+    Note(state, line, true);
+    EndRun(state, one, name, run_end::kLapsed, now);
+  }
+}
+
+/// Finishes the takeover of a worker once nothing of others runs there.
+void ContinueAcquiring(engine& state, worker& one, const hold_reply& reply,
+                       instant now) {
+  if (!reply.running.empty()) {
+    return;
+  }
+  ++state.counts.acquired;
+  one.fence_misses = 0;
+  one.highest_fence = one.fence;
+  one.slowness = 1.0;
+  SetPhase(state, one, control_phase::kHeld, "worker_held", "acquired");
+  state.dispatch_due = true;
+  (void)now;
+}
+
+/// Handles a reply that says that another life or another fence is there.
+bool Unfit(engine& state, worker& one, bool fenced, bool other_life,
+           instant now) {
+  if (fenced) {
+    one.highest_fence = std::max(one.highest_fence, one.fence);
+    one.fence_misses = std::min(one.fence_misses + 1, kMostFenceDoublings);
+    LoseWorker(state, one, "fenced", now);
+    return true;
+  }
+  if (other_life) {
+    EndAllRuns(state, one, now);
+    LoseWorker(state, one, "other_life", now);
+    return true;
+  }
+  return false;
+}
+
+void NoteRun(engine& state, const char* event, const worker& one,
+             const run_name& name, const char* outcome) {
+  note_line line(event);
+  line.With("job", name.task.job)
+      .With("step", static_cast<int64_t>(name.task.step))
+      .With("index", static_cast<int64_t>(name.task.index))
+      .With("run", static_cast<int64_t>(name.run))
+      .With("worker", one.listing.id)
+      .With("outcome", outcome);
+  Note(state, line);
+}
+
+/// A run that takes far too long is stopped, so that it can begin elsewhere.
+void StopStalledRuns(engine& state, worker& one, instant now) {
+  std::vector<run_name> stalled;
+  for (const auto& [name, run] : one.runs) {
+    const auto limit = std::chrono::duration_cast<microseconds>(
+        run.expected * state.options.stall_factor + state.options.stall_slack);
+    if (run.phase == run_phase::kRunning && now - run.ordered > limit) {
+      stalled.push_back(name);
+    }
+  }
+  for (const run_name& name : stalled) {
+    ++state.counts.stalls;
+    one.health.strikes =
+        std::min(one.health.strikes + 1, state.options.most_strikes);
+    NoteRun(state, "run_stalled", one, name, "stopping");
+    OrderStop(state, one, name, now);
+  }
+}
+
+/// Ends stopped runs that are not listed as ended and asks again for stops
+/// that were not acknowledged.
+void SettleStops(engine& state, worker& one, instant now) {
+  // A run that was never there is not listed as ended either.
+  const auto listing_limit =
+      state.options.stop_time + state.options.hold_timeout;
+  std::vector<run_name> over;
+  std::vector<run_name> again;
+  for (const auto& [name, run] : one.runs) {
+    if (run.phase == run_phase::kStopped &&
+        now - run.last_order > listing_limit) {
+      over.push_back(name);
+    } else if (run.phase == run_phase::kStopping &&
+               now - run.last_order > 2 * state.options.order_timeout) {
+      again.push_back(name);
+    }
+  }
+  for (const run_name& name : over) {
+    EndRun(state, one, name, run_end::kStopped, now);
+  }
+  for (const run_name& name : again) {
+    OrderStop(state, one, name, now);
+  }
+}
+
+}  // namespace
+
+void ListWorker(engine& state, const worker_listing& listing, instant now) {
+  worker& one = state.workers[listing.id];
+  const bool known = !one.listing.id.empty();
+  const bool was_draining = one.listing.draining;
+  const int64_t born = one.listing.born;
+  const bool moved = known && one.listing.address != listing.address;
+  one.listing = listing;
+  one.listed = true;
+  if (known && (moved || (born != 0 && listing.born != 0 &&
+                          born != listing.born))) {
+    one.listing.born = born;
+    BeginNewLife(state, one, listing.born, now);
+  }
+  if (!known || was_draining != listing.draining) {
+    note_line line("worker_listed");
+    line.With("worker", listing.id)
+        .With("data_centre", listing.data_centre)
+        .With("cpu_milli", static_cast<int64_t>(listing.room.cpu_milli))
+        .With("state", listing.draining ? "draining" : "ready");
+    Note(state, line);
+  }
+  state.dispatch_due = true;
+}
+
+void UnlistWorker(engine& state, const std::string& id, instant now) {
+  const auto at = state.workers.find(id);
+  if (at == state.workers.end() || !at->second.listed) {
+    return;
+  }
+  at->second.listed = false;
+  at->second.unlisted = now;
+  note_line line("worker_unlisted");
+  line.With("worker", id);
+  Note(state, line);
+}
+
+void OrderStart(engine& state, worker& at, part_id owner, uint32_t task,
+                instant now) {
+  part& ordered = state.parts.Get(owner);
+  fleet::task& one = ordered.tasks[task];
+  const step_spec& step = ordered.job.steps[one.step];
+  one.phase = task_phase::kPlaced;
+  one.worker = at.listing.id;
+  ++one.run;
+  const run_name name{.task = {.job = ordered.job.id,
+                               .step = one.step,
+                               .index = one.index},
+                      .run = one.run};
+  at.runs[name] = {.owner = owner,
+                   .task = task,
+                   .need = step.need,
+                   .ordered = now,
+                   .expected = ExpectedRuntime(state.runtimes, ordered.queue,
+                                               step.estimate),
+                   .last_order = now};
+  at.used = at.used + step.need;
+  ++state.counts.starts;
+  state.out.emplace_back(start_order{.target = TargetOf(at),
+                                     .name = name,
+                                     .payload = ordered.job.payload,
+                                     .lease_until_ms =
+                                         ExtendLease(state, at, now),
+                                     .fence = at.fence});
+}
+
+void OrderStop(engine& state, worker& at, const run_name& name, instant now) {
+  const auto found = at.runs.find(name);
+  if (found == at.runs.end()) {
+    return;
+  }
+  found->second.phase = run_phase::kStopping;
+  found->second.last_order = now;
+  state.out.emplace_back(
+      stop_order{.target = TargetOf(at), .name = name, .fence = at.fence});
+}
+
+void OnStartReply(engine& state, const std::string& id, const run_name& name,
+                  start_outcome outcome, int64_t clock_ms, instant now) {
+  const auto at = state.workers.find(id);
+  if (at == state.workers.end()) {
+    return;
+  }
+  worker& one = at->second;
+  if (outcome != start_outcome::kUnknown &&
+      outcome != start_outcome::kNotSent) {
+    ReadClock(one, clock_ms, now);
+  }
+  const auto found = one.runs.find(name);
+  if (found == one.runs.end()) {
+    return;
+  }
+  task_run& run = found->second;
+  part* const owner = state.parts.Find(run.owner);
+  switch (outcome) {
+    case start_outcome::kAccepted:
+      if (owner != nullptr) {
+        owner->started = true;
+      }
+      if (run.phase == run_phase::kOrdered) {
+        run.phase = run_phase::kRunning;
+        run.confirmed = now;
+      }
+      return;
+    case start_outcome::kUnknown:
+      ++state.counts.starts_unknown;
+      if (owner != nullptr) {
+        owner->started = true;
+      }
+      if (run.phase == run_phase::kOrdered) {
+        NoteRun(state, "start_unanswered", one, name, "stopping");
+        OrderStop(state, one, name, now);
+      }
+      return;
+    case start_outcome::kFenced:
+      Unfit(state, one, true, false, now);
+      RequeueRun(state, one, name, now);
+      return;
+    case start_outcome::kOtherLife:
+      Unfit(state, one, false, true, now);
+      return;
+    case start_outcome::kNoRoom:
+      one.full_until = now + state.options.full_pause;
+      break;
+    case start_outcome::kOldRun:
+    case start_outcome::kTooLate:
+      break;
+    case start_outcome::kRefused:
+    case start_outcome::kNotSent:
+      one.full_until = now + state.options.acquire_pause;
+      break;
+  }
+  ++state.counts.starts_refused;
+  constexpr std::array<const char*, 9> kNames{
+      "accepted", "no_room",    "old_run",  "too_late", "fenced",
+      "refused",  "other_life", "not_sent", "unknown"};
+  NoteRun(state, "start_refused", one, name,
+          kNames[static_cast<size_t>(outcome)]);
+  RequeueRun(state, one, name, now);
+}
+
+void OnStopReply(engine& state, const std::string& id, const run_name& name,
+                 stop_outcome outcome, int64_t clock_ms, instant now) {
+  const auto at = state.workers.find(id);
+  if (at == state.workers.end()) {
+    return;
+  }
+  worker& one = at->second;
+  const auto found = one.runs.find(name);
+  switch (outcome) {
+    case stop_outcome::kAcknowledged:
+      ReadClock(one, clock_ms, now);
+      if (found != one.runs.end() &&
+          found->second.phase == run_phase::kStopping) {
+        found->second.phase = run_phase::kStopped;
+        found->second.last_order = now;
+      }
+      return;
+    case stop_outcome::kFenced:
+      Unfit(state, one, true, false, now);
+      return;
+    case stop_outcome::kUnknown:
+      // TickWorkers asks again.
+      return;
+  }
+}
+
+void OnHoldReply(engine& state, const std::string& id, uint64_t number,
+                 const hold_reply& reply, int64_t clock_ms, instant now) {
+  const auto at = state.workers.find(id);
+  if (at == state.workers.end() || at->second.hold_number != number) {
+    return;
+  }
+  worker& one = at->second;
+  one.hold_in_flight = false;
+  if (reply.outcome == hold_outcome::kUnknown) {
+    one.retry = now + state.options.full_pause;
+    return;
+  }
+  if (Unfit(state, one, reply.outcome == hold_outcome::kFenced,
+            reply.outcome == hold_outcome::kOtherLife, now)) {
+    return;
+  }
+  if (reply.born != 0 && one.listing.born != 0 &&
+      reply.born != one.listing.born) {
+    BeginNewLife(state, one, reply.born, now);
+  }
+  ReadClock(one, clock_ms, now);
+  TakeEnds(state, one, reply, now);
+  TakeRunning(state, one, reply, now);
+  if (one.phase == control_phase::kAcquiring) {
+    ContinueAcquiring(state, one, reply, now);
+  }
+  if (one.phase != control_phase::kNotOurs) {
+    // While others' runs are being stopped the next look comes soon.
+    SendHold(state, one,
+             one.phase == control_phase::kAcquiring ? state.options.stop_time
+                                                    : state.options.hold_wait,
+             now);
+  }
+}
+
+void ControlWorkers(engine& state, instant now) {
+  if (!KnowsPeers(state, now)) {
+    return;
+  }
+  const std::vector<controller_candidate> candidates = Candidates(state);
+  std::map<std::string, size_t> sizes;
+  for (const auto& [id, one] : state.workers) {
+    sizes[one.listing.data_centre] += one.listed ? 1 : 0;
+  }
+  std::map<std::string, std::vector<controller_candidate>> controllers;
+  for (const auto& [data_centre, count] : sizes) {
+    controllers[data_centre] =
+        ChooseControllers(candidates, data_centre, count,
+                          state.options.workers_per_controller);
+  }
+  size_t releasing = ReleaseBudget(state);
+  for (auto& [id, one] : state.workers) {
+    const controller_candidate* const wanted =
+        ChooseController(controllers[one.listing.data_centre], id);
+    const bool ours =
+        wanted != nullptr && wanted->incarnation == state.self.incarnation;
+    ControlWorker(state, one, ours, wanted != nullptr && !ours, releasing, now);
+  }
+}
+
+void TickWorkers(engine& state, instant now) {
+  for (auto at = state.workers.begin(); at != state.workers.end();) {
+    worker& one = at->second;
+    if (!one.runs.empty() && now >= one.dead_by) {
+      note_line line("leases_over");
+      line.With("worker", one.listing.id)
+          .With("runs", static_cast<int64_t>(one.runs.size()))
+          .With("unheard_ms",
+                std::chrono::floor<milliseconds>(now - one.heard).count());
+      Note(state, line, true);
+      EndAllRuns(state, one, now);
+    }
+    if (one.phase != control_phase::kNotOurs) {
+      SettleStops(state, one, now);
+      StopStalledRuns(state, one, now);
+      if (!one.hold_in_flight && now >= one.retry) {
+        SendHold(state, one, milliseconds{0}, now);
+      }
+    }
+    if (IsGone(state, one, now) && one.runs.empty()) {
+      LoseWorker(state, one, "gone", now);
+      at = state.workers.erase(at);
+    } else {
+      ++at;
+    }
+  }
+}
+
+}  // namespace tarragondrift::fleet
--- /dev/null
+++ b/packages/gate/src/held_http_server.cc
@@ -0,0 +1,274 @@
+#include "tarragondrift/gate/held_http_server.h"
+
+#include <microhttpd.h>
+#include <netinet/in.h>
+#include <poll.h>
+#include <unistd.h>
+
+#include <array>
+#include <atomic>
+#include <map>
+#include <mutex>
+#include <optional>
+#include <utility>
+
+#include "tarragondrift/gate/address.h"
+
+namespace tarragondrift {
+namespace {
+
+/// One request on its way through the library.
+struct exchange {
+  MHD_Connection* connection = nullptr;
+  held_request request;
+  bool handed_on = false;
+  std::optional<server_response> response;
+};
+
+std::string HostWithoutPort(const char* host) {
+  std::string text = host == nullptr ? "" : host;
+  const size_t colon = text.find(':');
+  if (colon != std::string::npos) {
+    text.resize(colon);
+  }
+  return text;
+}
+
+class mhd_held_server : public held_http_server {
+ public:
+  mhd_held_server(held_http_options options, held_handler handler)
+      : options_(std::move(options)), handler_(std::move(handler)) {}
+  mhd_held_server(const mhd_held_server&) = delete;
+  mhd_held_server& operator=(const mhd_held_server&) = delete;
+
+  ~mhd_held_server() override {
+    if (daemon_ == nullptr) {
+      return;
+    }
+    ResumeAll();
+    MHD_stop_daemon(daemon_);
+  }
+
+  result<void> Listen() {
+    const result<sockaddr_in> address = ParseAddress(options_.address);
+    if (!address) {
+      return address.error();
+    }
+    address_ = address.value();
+    constexpr unsigned int kListenBacklog = 1'024;
+    daemon_ = MHD_start_daemon(
+        MHD_USE_EPOLL_INTERNAL_THREAD | MHD_ALLOW_SUSPEND_RESUME | MHD_USE_ITC,
+        ntohs(address_.sin_port), nullptr, nullptr, &OnAccess, this,
+        MHD_OPTION_SOCK_ADDR, &address_, MHD_OPTION_NOTIFY_COMPLETED,
+        &OnCompleted, this, MHD_OPTION_CONNECTION_LIMIT,
+        static_cast<unsigned int>(options_.most_connections),
+        MHD_OPTION_CONNECTION_TIMEOUT,
+        static_cast<unsigned int>(options_.idle_timeout.count()),
+        MHD_OPTION_LISTEN_BACKLOG_SIZE, kListenBacklog,
+        MHD_OPTION_LISTENING_ADDRESS_REUSE, 1U, MHD_OPTION_END);
+    if (daemon_ == nullptr) {
+      return result_code::kInternal;
+    }
+    return outcome::success();
+  }
+
+  void Respond(uint64_t number, server_response response) override {
+    const std::scoped_lock lock(mutex_);
+    const auto at = held_.find(number);
+    if (at == held_.end()) {
+      return;
+    }
+    exchange* const one = at->second;
+    held_.erase(at);
+    one->response = std::move(response);
+    MHD_resume_connection(one->connection);
+  }
+
+  std::vector<uint64_t> TakeLeft() override {
+    const std::scoped_lock lock(mutex_);
+    std::vector<pollfd> sockets;
+    std::vector<uint64_t> numbers;
+    for (const auto& [number, one] : held_) {
+      const MHD_ConnectionInfo* const info = MHD_get_connection_info(
+          one->connection, MHD_CONNECTION_INFO_CONNECTION_FD);
+      if (info != nullptr) {
+        sockets.push_back({.fd = info->connect_fd, .events = POLLRDHUP});
+        numbers.push_back(number);
+      }
+    }
+    std::vector<uint64_t> left;
+    if (sockets.empty() || poll(sockets.data(), sockets.size(), 0) <= 0) {
+      return left;
+    }
+    for (size_t at = 0; at < sockets.size(); ++at) {
+      if ((sockets[at].revents & (POLLRDHUP | POLLHUP | POLLERR)) != 0) {
+        left.push_back(numbers[at]);
+      }
+    }
+    return left;
+  }
+
+  void CloseAfterAnswers() override { closing_.store(true); }
+
+  void StopAccepting() override {
+    const MHD_socket listener = MHD_quiesce_daemon(daemon_);
+    if (listener != MHD_INVALID_SOCKET) {
+      close(listener);
+    }
+  }
+
+  size_t Held() const override {
+    const std::scoped_lock lock(mutex_);
+    return held_.size();
+  }
+
+  size_t Unsent() const override { return unsent_.load(); }
+
+ private:
+  static MHD_Result OnAccess(void* self, MHD_Connection* connection,
+                             const char* url, const char* method,
+                             const char* /*version*/, const char* upload,
+                             size_t* upload_size, void** context) {
+    return static_cast<mhd_held_server*>(self)->Access(
+        connection, url, method, upload, *upload_size, *context);
+  }
+
+  static void OnCompleted(void* self, MHD_Connection* /*connection*/,
+                          void** context, MHD_RequestTerminationCode /*how*/) {
+    static_cast<mhd_held_server*>(self)->Complete(*context);
+    *context = nullptr;
+  }
+
+  MHD_Result Access(MHD_Connection* connection, const char* url,
+                    const char* method, const char* upload, size_t& upload_size,
+                    void*& context) {
+    if (context == nullptr) {
+      context = Begin(connection, url, method);
+      return MHD_YES;
+    }
+    auto* const one = static_cast<exchange*>(context);
+    if (upload_size > 0) {
+      TakeBody(*one, upload, upload_size);
+      upload_size = 0;
+      return MHD_YES;
+    }
+    if (!one->handed_on) {
+      HandOn(*one);
+      return MHD_YES;
+    }
+    return Send(*one);
+  }
+
+  exchange* Begin(MHD_Connection* connection, const char* url,
+                  const char* method) {
+    auto made = std::make_unique<exchange>();
+    made->connection = connection;
+    made->request.method = method;
+    made->request.path = url;
+    made->request.host = HostWithoutPort(
+        MHD_lookup_connection_value(connection, MHD_HEADER_KIND, "Host"));
+    const char* const extra = MHD_lookup_connection_value(
+        connection, MHD_HEADER_KIND, options_.extra_header.c_str());
+    made->request.extra = extra == nullptr ? "" : extra;
+    unsent_.fetch_add(1);
+    return made.release();
+  }
+
+  void TakeBody(exchange& one, const char* upload, size_t size) const {
+    if (one.request.body.size() + size > options_.most_body_bytes) {
+      one.request.too_large = true;
+      one.request.body.clear();
+    }
+    if (!one.request.too_large) {
+      one.request.body.append(upload, size);
+    }
+  }
+
+  /// Suspends the connection and hands the request to the handler.
+  void HandOn(exchange& one) {
+    held_request request;
+    {
+      const std::scoped_lock lock(mutex_);
+      one.handed_on = true;
+      one.request.number = ++last_number_;
+      request = std::move(one.request);
+      one.request.number = request.number;
+      held_[request.number] = &one;
+      MHD_suspend_connection(one.connection);
+    }
+    handler_(std::move(request));
+  }
+
+  /// Queues the response of a resumed connection.
+  MHD_Result Send(exchange& one) {
+    if (!one.response) {
+      return MHD_NO;
+    }
+    const server_response& answer = *one.response;
+    MHD_Response* const response = MHD_create_response_from_buffer(
+        answer.body.size(),
+        const_cast<char*>(answer.body.data()),  // NOLINT: C API; it is copied
+        MHD_RESPMEM_MUST_COPY);
+    MHD_add_response_header(response, "Content-Type",
+                            answer.content_type.c_str());
+    if (answer.retry_after.count() > 0) {
+      const auto seconds =
+          std::chrono::ceil<std::chrono::seconds>(answer.retry_after);
+      MHD_add_response_header(response, "Retry-After",
+                              std::to_string(seconds.count()).c_str());
+    }
+    if (closing_.load()) {
+      MHD_add_response_header(response, "Connection", "close");
+    }
+    const MHD_Result queued =
+        MHD_queue_response(one.connection, answer.status, response);
+    MHD_destroy_response(response);
+    return queued;
+  }
+
+  void Complete(void* context) {
+    if (context == nullptr) {
+      return;
+    }
+    auto* const one = static_cast<exchange*>(context);
+    {
+      const std::scoped_lock lock(mutex_);
+      held_.erase(one->request.number);
+    }
+    delete one;
+    unsent_.fetch_sub(1);
+  }
+
+  /// Lets go of what is still held; the library can't stop before.
+  void ResumeAll() {
+    const std::scoped_lock lock(mutex_);
+    for (const auto& [number, one] : held_) {
+      MHD_resume_connection(one->connection);
+    }
+    held_.clear();
+  }
+
+  held_http_options options_;
+  held_handler handler_;
+  sockaddr_in address_{};
+  MHD_Daemon* daemon_ = nullptr;
+  mutable std::mutex mutex_;
+  uint64_t last_number_ = 0;
+  std::map<uint64_t, exchange*> held_;
+  std::atomic<size_t> unsent_{0};
+  std::atomic<bool> closing_{false};
+};
+
+}  // namespace
+
+result<std::unique_ptr<held_http_server>> held_http_server::Start(
+    const held_http_options& options, held_handler handler) {
+  auto server = std::make_unique<mhd_held_server>(options, std::move(handler));
+  const result<void> listening = server->Listen();
+  if (!listening) {
+    return listening.error();
+  }
+  return std::unique_ptr<held_http_server>(std::move(server));
+}
+
+}  // namespace tarragondrift
--- a/packages/gate/src/upstream_attempt.cc
+++ b/packages/gate/src/upstream_attempt.cc
@@ -54,15 +54,6 @@
   return line.size();
 }
 
-/// Adds one header line.
-void AddHeader(slist_ptr& headers, const std::string& line) {
-  curl_slist* const longer = curl_slist_append(headers.get(), line.c_str());
-  if (longer != nullptr) {
-    headers.release();  // NOLINT: the list's head stays, or was null
-    headers.reset(longer);
-  }
-}
-
 /// Percent-encodes a task's name, which may hold any characters.
 std::string Escape(CURL* easy, const std::string& text) {
   char* const escaped =
@@ -72,26 +63,25 @@
   return copy;
 }
 
-slist_ptr MakeHeaders(const upstream_attempt& attempt) {
+slist_ptr MakeHeaders(const upstream_attempt& attempt, CURL* easy) {
   const start_task& start = attempt.start;
   slist_ptr headers;
-  AddHeader(headers, "Idempotency-Key: " + FormatSubmissionId(start.id) + "/" +
+  AppendHeader(headers, "Idempotency-Key: " + FormatSubmissionId(start.id) + "/" +
                          std::to_string(start.placed.task.task.number));
-  AddHeader(headers,
-            "X-Task-Name: " + Escape(attempt.easy.get(), start.task_name));
-  AddHeader(headers, "X-Attempt: " + std::to_string(start.attempt));
-  AddHeader(headers, "Content-Type: text/plain");
+  AppendHeader(headers,
+            "X-Task-Name: " + Escape(easy, start.task_name));
+  AppendHeader(headers, "X-Attempt: " + std::to_string(start.attempt));
+  AppendHeader(headers, "Content-Type: text/plain");
   // An upstream that waits for "100 Continue" would cost a round trip.
-  AddHeader(headers, "Expect:");
+  AppendHeader(headers, "Expect:");
   return headers;
 }
 
 }  // namespace
 
-void PrepareAttempt(upstream_attempt& attempt,
+void PrepareAttempt(upstream_attempt& attempt, CURL* easy,
                     const upstream_client_options& options) {
-  CURL* const easy = attempt.easy.get();
-  attempt.headers = MakeHeaders(attempt);
+  attempt.headers = MakeHeaders(attempt, easy);
   attempt.most_answer_bytes = options.most_answer_bytes;
   const std::string url = "http://" + attempt.start.address + "/run";
   curl_easy_setopt(easy, CURLOPT_URL, url.c_str());
@@ -122,7 +112,8 @@
                        options.longest_idle.count()));
 }
 
-attempt_result JudgeAttempt(upstream_attempt& attempt, CURLcode code) {
+attempt_result JudgeAttempt(upstream_attempt& attempt, CURL* easy,
+                            CURLcode code) {
   attempt_result ended;
   if (!attempt.handed_over) {
     ended.outcome = attempt_outcome::kRefused;
@@ -140,7 +131,7 @@
     return ended;
   }
   long status = 0;  // NOLINT: libcurl's type
-  curl_easy_getinfo(attempt.easy.get(), CURLINFO_RESPONSE_CODE, &status);
+  curl_easy_getinfo(easy, CURLINFO_RESPONSE_CODE, &status);
   ended.leaving = status == kHttpRefused && attempt.closing;
   if (status == kHttpOk) {
     ended.outcome = attempt_outcome::kSucceeded;
--- /dev/null
+++ b/packages/link/src/fleet_codec.cc
@@ -0,0 +1,215 @@
+#include "fleet_codec.h"
+
+#include <algorithm>
+#include <optional>
+#include <type_traits>
+#include <utility>
+#include <variant>
+
+namespace tarragondrift {
+namespace {
+
+using std::chrono::milliseconds;
+
+void EncodeLoad(const std::string& upstream, const fleet::load_report& from,
+                wire::FleetLoad& to) {
+  to.set_upstream(upstream);
+  to.set_free_tasks(from.free_tasks);
+  for (const uint32_t queued : from.queued_within) {
+    to.add_queued_within(queued);
+  }
+  to.set_ends_per_second(from.ends_per_second);
+  to.set_workers(from.workers);
+}
+
+fleet::load_report DecodeLoad(const wire::FleetLoad& from) {
+  fleet::load_report load{.free_tasks = from.free_tasks(),
+                          .ends_per_second = from.ends_per_second(),
+                          .workers = from.workers()};
+  const auto known = std::min<size_t>(
+      load.queued_within.size(),
+      static_cast<size_t>(from.queued_within_size()));
+  std::copy_n(from.queued_within().begin(), known, load.queued_within.begin());
+  return load;
+}
+
+void EncodeRef(const fleet::part_ref& from, wire::FleetPartRef& to) {
+  to.set_job(from.job);
+  to.set_part(from.part);
+}
+
+fleet::part_ref DecodeRef(const wire::FleetPartRef& from) {
+  return {.job = from.job(), .part = from.part()};
+}
+
+void EncodeStep(const fleet::step_spec& from, wire::FleetStep& to) {
+  to.set_count(from.count);
+  to.set_cpu_milli(from.need.cpu_milli);
+  to.set_memory_mb(from.need.memory_mb);
+  to.set_gpus(from.need.gpus);
+  to.set_estimate_ms(from.estimate.count());
+  to.mutable_after()->Add(from.after.begin(), from.after.end());
+  to.set_near_rack(from.near_rack);
+  to.set_label(from.label);
+  to.set_most_per_worker(from.most_per_worker);
+}
+
+fleet::step_spec DecodeStep(const wire::FleetStep& from) {
+  return {.count = from.count(),
+          .need = {.cpu_milli = from.cpu_milli(),
+                   .memory_mb = from.memory_mb(),
+                   .gpus = from.gpus()},
+          .estimate = milliseconds(from.estimate_ms()),
+          .after = {from.after().begin(), from.after().end()},
+          .near_rack = from.near_rack(),
+          .label = from.label(),
+          .most_per_worker = from.most_per_worker()};
+}
+
+void EncodeOffer(const fleet::part_offer& from, wire::FleetOffer& to) {
+  EncodeRef(from.ref, *to.mutable_ref());
+  to.set_queue(from.queue);
+  to.set_upstream(from.upstream);
+  to.set_priority(from.priority);
+  to.set_attempts(from.attempts);
+  to.set_job(from.job.id);
+  to.set_payload(from.job.payload);
+  for (const fleet::step_spec& step : from.job.steps) {
+    EncodeStep(step, *to.add_steps());
+  }
+  to.set_first(from.first);
+  to.set_count(from.count);
+  to.set_objective_left_ms(from.objective_left.count());
+  to.set_deadline_left_ms(from.deadline_left.count());
+}
+
+fleet::part_offer DecodeOffer(const wire::FleetOffer& from) {
+  fleet::part_offer offer{
+      .ref = DecodeRef(from.ref()),
+      .queue = from.queue(),
+      .upstream = from.upstream(),
+      .priority = from.priority(),
+      .attempts = from.attempts(),
+      .job = {.id = from.job(), .payload = from.payload()},
+      .first = from.first(),
+      .count = from.count(),
+      .objective_left = milliseconds(from.objective_left_ms()),
+      .deadline_left = milliseconds(from.deadline_left_ms())};
+  for (const wire::FleetStep& step : from.steps()) {
+    offer.job.steps.push_back(DecodeStep(step));
+  }
+  return offer;
+}
+
+void EncodeBeat(const fleet::beat& from, wire::FleetBeat& to) {
+  to.set_incarnation(from.from.incarnation);
+  to.set_name(from.from.name);
+  to.set_address(from.from.address);
+  to.set_data_centre(from.from.data_centre);
+  to.set_leaving(from.leaving);
+  to.set_config_version(from.config_version);
+  for (const fleet::worker_claim& claim : from.claims) {
+    wire::FleetClaim& added = *to.add_claims();
+    added.set_worker(claim.worker);
+    added.set_fence(claim.fence);
+  }
+}
+
+fleet::beat DecodeBeat(const wire::FleetBeat& from) {
+  fleet::beat decoded{.from = {.incarnation = from.incarnation(),
+                               .name = from.name(),
+                               .address = from.address(),
+                               .data_centre = from.data_centre()},
+                      .leaving = from.leaving(),
+                      .config_version = from.config_version()};
+  for (const wire::FleetClaim& claim : from.claims()) {
+    decoded.claims.push_back(
+        {.worker = claim.worker(), .fence = claim.fence()});
+  }
+  return decoded;
+}
+
+/// Writes each kind of message into its field.
+struct message_encoder {
+  wire::FleetMessage& to;
+
+  void operator()(const fleet::beat& from) const {
+    EncodeBeat(from, *to.mutable_beat());
+  }
+  void operator()(const fleet::part_offer& from) const {
+    EncodeOffer(from, *to.mutable_offer());
+  }
+  void operator()(const fleet::part_cancel& from) const {
+    EncodeRef(from.ref, *to.mutable_cancel());
+  }
+  void operator()(const fleet::part_result& from) const {
+    wire::FleetPartResult& result = *to.mutable_result();
+    EncodeRef(from.ref, *result.mutable_ref());
+    result.set_code(static_cast<uint32_t>(from.code));
+    result.set_started(from.started);
+    result.set_retry_after_ms(from.retry_after.count());
+  }
+  void operator()(const fleet::job_cancel& from) const {
+    to.set_cancel_job(from.job);
+  }
+  void operator()(const fleet::config_news& from) const {
+    to.mutable_config()->set_version(from.version);
+    to.mutable_config()->set_text(from.text);
+  }
+};
+
+std::optional<fleet::peer_message> DecodeMessage(
+    const wire::FleetMessage& from) {
+  switch (from.kind_case()) {
+    case wire::FleetMessage::kBeat:
+      return DecodeBeat(from.beat());
+    case wire::FleetMessage::kOffer:
+      return DecodeOffer(from.offer());
+    case wire::FleetMessage::kCancel:
+      return fleet::part_cancel{.ref = DecodeRef(from.cancel())};
+    case wire::FleetMessage::kResult:
+      return fleet::part_result{
+          .ref = DecodeRef(from.result().ref()),
+          .code = static_cast<result_code>(from.result().code()),
+          .started = from.result().started(),
+          .retry_after = milliseconds(from.result().retry_after_ms())};
+    case wire::FleetMessage::kCancelJob:
+      return fleet::job_cancel{.job = from.cancel_job()};
+    case wire::FleetMessage::kConfig:
+      return fleet::config_news{.version = from.config().version(),
+                                .text = from.config().text()};
+    case wire::FleetMessage::KIND_NOT_SET:
+      break;
+  }
+  return std::nullopt;
+}
+
+}  // namespace
+
+void Encode(const fleet::envelope& from, wire::FleetEnvelope& to) {
+  to.set_from(from.from);
+  to.set_to(from.to);
+  to.set_stream(from.stream);
+  for (const auto& [upstream, load] : from.load) {
+    EncodeLoad(upstream, load, *to.add_load());
+  }
+  for (const fleet::peer_message& message : from.messages) {
+    std::visit(message_encoder{*to.add_messages()}, message);
+  }
+}
+
+fleet::envelope Decode(const wire::FleetEnvelope& from) {
+  fleet::envelope decoded{
+      .from = from.from(), .to = from.to(), .stream = from.stream()};
+  for (const wire::FleetLoad& load : from.load()) {
+    decoded.load[load.upstream()] = DecodeLoad(load);
+  }
+  for (const wire::FleetMessage& message : from.messages()) {
+    if (auto one = DecodeMessage(message)) {
+      decoded.messages.push_back(std::move(*one));
+    }
+  }
+  return decoded;
+}
+
+}  // namespace tarragondrift
--- /dev/null
+++ b/packages/link/src/fleet_link.cc
@@ -0,0 +1,164 @@
+#include "tarragondrift/link/fleet_link.h"
+
+#include <grpcpp/grpcpp.h>
+
+#include <condition_variable>
+#include <mutex>
+#include <unordered_map>
+#include <utility>
+
+#include "fleet.grpc.pb.h"
+#include "fleet_codec.h"
+
+namespace tarragondrift {
+namespace {
+
+/// Time for calls under way when the link stops.
+constexpr std::chrono::milliseconds kStopGrace{200};
+/// Pauses before a lost connection is tried again; a restarted entry should be
+/// reached well within a beat or two.
+constexpr int kShortestReconnectMilliseconds = 100;
+constexpr int kLongestReconnectMilliseconds = 400;
+
+class fleet_service : public wire::FleetPeer::CallbackService {
+ public:
+  explicit fleet_service(envelope_handler handler)
+      : handler_(std::move(handler)) {}
+
+  grpc::ServerUnaryReactor* Deliver(grpc::CallbackServerContext* context,
+                                    const wire::FleetEnvelope* request,
+                                    wire::FleetReceipt* reply) override {
+    reply->set_accepted(handler_(Decode(*request)));
+    grpc::ServerUnaryReactor* const reactor = context->DefaultReactor();
+    reactor->Finish(grpc::Status::OK);
+    return reactor;
+  }
+
+ private:
+  envelope_handler handler_;
+};
+
+/// One delivery and what it needs until its end.
+struct delivery_call {
+  grpc::ClientContext context;
+  wire::FleetEnvelope request;
+  wire::FleetReceipt reply;
+  std::shared_ptr<wire::FleetPeer::Stub> stub;
+};
+
+class grpc_fleet_link : public fleet_link {
+ public:
+  grpc_fleet_link(fleet_link_options options, envelope_handler handler)
+      : options_(std::move(options)), service_(std::move(handler)) {}
+  grpc_fleet_link(const grpc_fleet_link&) = delete;
+  grpc_fleet_link& operator=(const grpc_fleet_link&) = delete;
+
+  ~grpc_fleet_link() override {
+    {
+      std::unique_lock lock(mutex_);
+      ended_.wait(lock, [this] { return running_ == 0; });
+    }
+    if (server_ != nullptr) {
+      server_->Shutdown(std::chrono::system_clock::now() + kStopGrace);
+      server_->Wait();
+    }
+  }
+
+  bool Listen() {
+    grpc::ServerBuilder builder;
+    int port = 0;
+    builder.AddListeningPort(options_.address,
+                             grpc::InsecureServerCredentials(), &port);
+    builder.AddChannelArgument(GRPC_ARG_ALLOW_REUSEPORT, 0);
+    builder.RegisterService(&service_);
+    server_ = builder.BuildAndStart();
+    return server_ != nullptr && port != 0;
+  }
+
+  void Deliver(const std::string& address, const fleet::envelope& content,
+               delivery_callback done) override {
+    auto call = std::make_shared<delivery_call>();
+    Encode(content, call->request);
+    call->context.set_deadline(std::chrono::system_clock::now() +
+                               options_.timeout);
+    {
+      const std::scoped_lock lock(mutex_);
+      ++running_;
+      call->stub = StubOf(address);
+    }
+    call->stub->async()->Deliver(
+        &call->context, &call->request, &call->reply,
+        [this, call, address,
+         done = std::move(done)](const grpc::Status& status) {
+          Finish(address, *call, status, done);
+        });
+  }
+
+ private:
+  void Finish(const std::string& address, const delivery_call& call,
+              const grpc::Status& status, const delivery_callback& done) {
+    if (!status.ok()) {
+      done(fleet::delivery::kLost);
+    } else {
+      done(call.reply.accepted() ? fleet::delivery::kDelivered
+                                 : fleet::delivery::kOtherProcess);
+    }
+    const std::scoped_lock lock(mutex_);
+    if (!status.ok()) {
+      // The next delivery makes a connection of its own. The old channel must
+      // not be destroyed on a thread of the library: `Deliver` does it.
+      const auto at = stubs_.find(address);
+      if (at != stubs_.end() && at->second == call.stub) {
+        retired_.push_back(std::move(at->second));
+        stubs_.erase(at);
+      }
+    }
+    --running_;
+    ended_.notify_all();
+  }
+
+  /// Gives the stub of an address; the caller holds the lock.
+  std::shared_ptr<wire::FleetPeer::Stub> StubOf(const std::string& address) {
+    retired_.clear();
+    std::shared_ptr<wire::FleetPeer::Stub>& stub = stubs_[address];
+    if (stub == nullptr) {
+      grpc::ChannelArguments arguments;
+      arguments.SetInt(GRPC_ARG_INITIAL_RECONNECT_BACKOFF_MS,
+                       kShortestReconnectMilliseconds);
+      arguments.SetInt(GRPC_ARG_MIN_RECONNECT_BACKOFF_MS,
+                       kShortestReconnectMilliseconds);
+      arguments.SetInt(GRPC_ARG_MAX_RECONNECT_BACKOFF_MS,
+                       kLongestReconnectMilliseconds);
+      arguments.SetInt(GRPC_ARG_ENABLE_RETRIES, 0);
+      arguments.SetInt(GRPC_ARG_ENABLE_HTTP_PROXY, 0);
+      // Connections are not shared with an earlier channel to the address.
+      arguments.SetInt(GRPC_ARG_USE_LOCAL_SUBCHANNEL_POOL, 1);
+      stub = wire::FleetPeer::NewStub(grpc::CreateCustomChannel(
+          "ipv4:" + address, grpc::InsecureChannelCredentials(), arguments));
+    }
+    return stub;
+  }
+
+  fleet_link_options options_;
+  fleet_service service_;
+  std::unique_ptr<grpc::Server> server_;
+  std::mutex mutex_;
+  std::condition_variable ended_;
+  size_t running_ = 0;
+  std::unordered_map<std::string, std::shared_ptr<wire::FleetPeer::Stub>>
+      stubs_;
+  std::vector<std::shared_ptr<wire::FleetPeer::Stub>> retired_;
+};
+
+}  // namespace
+
+result<std::unique_ptr<fleet_link>> fleet_link::Start(
+    const fleet_link_options& options, envelope_handler handler) {
+  auto link = std::make_unique<grpc_fleet_link>(options, std::move(handler));
+  if (!link->Listen()) {
+    return result_code::kInternal;
+  }
+  return std::unique_ptr<fleet_link>(std::move(link));
+}
+
+}  // namespace tarragondrift
--- a/packages/platform/include/tarragondrift/platform/clients.h
+++ b/packages/ports/include/tarragondrift/ports/clients.h
@@ -1,15 +1,15 @@
 // Clients of the platform's services over their published HTTP protocols.
-#ifndef TARRAGONDRIFT_PLATFORM_CLIENTS_H_
-#define TARRAGONDRIFT_PLATFORM_CLIENTS_H_
+#ifndef TARRAGONDRIFT_PORTS_CLIENTS_H_
+#define TARRAGONDRIFT_PORTS_CLIENTS_H_
 
 #include <chrono>
 #include <cstddef>
 #include <memory>
 #include <string>
 
-#include "tarragondrift/platform/instances.h"
-#include "tarragondrift/platform/objects.h"
-#include "tarragondrift/platform/table.h"
+#include "tarragondrift/ports/instances.h"
+#include "tarragondrift/ports/objects.h"
+#include "tarragondrift/ports/table.h"
 
 namespace tarragondrift {
 
@@ -57,4 +57,4 @@
 
 }  // namespace tarragondrift
 
-#endif  // TARRAGONDRIFT_PLATFORM_CLIENTS_H_
+#endif  // TARRAGONDRIFT_PORTS_CLIENTS_H_
--- a/packages/platform/include/tarragondrift/platform/http_client.h
+++ b/packages/ports/include/tarragondrift/ports/http_client.h
@@ -1,7 +1,7 @@
 // A blocking HTTP client that keeps its connections, bounds time and size, and
 // never sends a request twice by itself.
-#ifndef TARRAGONDRIFT_PLATFORM_HTTP_CLIENT_H_
-#define TARRAGONDRIFT_PLATFORM_HTTP_CLIENT_H_
+#ifndef TARRAGONDRIFT_PORTS_HTTP_CLIENT_H_
+#define TARRAGONDRIFT_PORTS_HTTP_CLIENT_H_
 
 #include <chrono>
 #include <cstddef>
@@ -82,4 +82,4 @@
 
 }  // namespace tarragondrift
 
-#endif  // TARRAGONDRIFT_PLATFORM_HTTP_CLIENT_H_
+#endif  // TARRAGONDRIFT_PORTS_HTTP_CLIENT_H_
--- a/packages/platform/include/tarragondrift/platform/instances.h
+++ b/packages/ports/include/tarragondrift/ports/instances.h
@@ -1,6 +1,6 @@
 // The port to the platform's lagging list of instances.
-#ifndef TARRAGONDRIFT_PLATFORM_INSTANCES_H_
-#define TARRAGONDRIFT_PLATFORM_INSTANCES_H_
+#ifndef TARRAGONDRIFT_PORTS_INSTANCES_H_
+#define TARRAGONDRIFT_PORTS_INSTANCES_H_
 
 #include <cstdint>
 #include <string>
@@ -32,4 +32,4 @@
 
 }  // namespace tarragondrift
 
-#endif  // TARRAGONDRIFT_PLATFORM_INSTANCES_H_
+#endif  // TARRAGONDRIFT_PORTS_INSTANCES_H_
--- a/packages/platform/include/tarragondrift/platform/objects.h
+++ b/packages/ports/include/tarragondrift/ports/objects.h
@@ -1,6 +1,6 @@
 // The port to the platform's object store.
-#ifndef TARRAGONDRIFT_PLATFORM_OBJECTS_H_
-#define TARRAGONDRIFT_PLATFORM_OBJECTS_H_
+#ifndef TARRAGONDRIFT_PORTS_OBJECTS_H_
+#define TARRAGONDRIFT_PORTS_OBJECTS_H_
 
 #include <string>
 
@@ -24,4 +24,4 @@
 
 }  // namespace tarragondrift
 
-#endif  // TARRAGONDRIFT_PLATFORM_OBJECTS_H_
+#endif  // TARRAGONDRIFT_PORTS_OBJECTS_H_
--- a/packages/platform/include/tarragondrift/platform/table.h
+++ b/packages/ports/include/tarragondrift/ports/table.h
@@ -1,6 +1,6 @@
 // The port to the platform's transactional table service.
-#ifndef TARRAGONDRIFT_PLATFORM_TABLE_H_
-#define TARRAGONDRIFT_PLATFORM_TABLE_H_
+#ifndef TARRAGONDRIFT_PORTS_TABLE_H_
+#define TARRAGONDRIFT_PORTS_TABLE_H_
 
 #include <cstdint>
 #include <optional>
@@ -49,4 +49,4 @@
 
 }  // namespace tarragondrift
 
-#endif  // TARRAGONDRIFT_PLATFORM_TABLE_H_
+#endif  // TARRAGONDRIFT_PORTS_TABLE_H_
--- a/packages/platform/src/http_client.cc
+++ b/packages/ports/src/http_client.cc
@@ -1,4 +1,4 @@
-#include "tarragondrift/platform/http_client.h"
+#include "tarragondrift/ports/http_client.h"
 
 #include <curl/curl.h>
 
--- a/packages/platform/src/instance_client.cc
+++ b/packages/ports/src/instance_client.cc
@@ -4,8 +4,8 @@
 #include <nlohmann/json.hpp>
 #include <string_view>
 
-#include "tarragondrift/platform/clients.h"
-#include "tarragondrift/platform/http_client.h"
+#include "tarragondrift/ports/clients.h"
+#include "tarragondrift/ports/http_client.h"
 
 namespace tarragondrift {
 namespace {
--- a/packages/platform/src/object_client.cc
+++ b/packages/ports/src/object_client.cc
@@ -1,6 +1,6 @@
 // The object store by S3's path-style REST interface, without credentials.
-#include "tarragondrift/platform/clients.h"
-#include "tarragondrift/platform/http_client.h"
+#include "tarragondrift/ports/clients.h"
+#include "tarragondrift/ports/http_client.h"
 
 namespace tarragondrift {
 namespace {
--- a/packages/platform/src/table_client.cc
+++ b/packages/ports/src/table_client.cc
@@ -6,8 +6,8 @@
 #include <string_view>
 #include <utility>
 
-#include "tarragondrift/platform/clients.h"
-#include "tarragondrift/platform/http_client.h"
+#include "tarragondrift/ports/clients.h"
+#include "tarragondrift/ports/http_client.h"
 
 namespace tarragondrift {
 namespace {
--- a/packages/gate/src/upstream_loop.cc
+++ b/packages/ports/src/transfer_loop.cc
@@ -1,4 +1,4 @@
-#include "upstream_loop.h"
+#include "tarragondrift/ports/transfer_loop.h"
 
 #include <sys/epoll.h>
 #include <sys/eventfd.h>
@@ -6,6 +6,7 @@
 
 #include <algorithm>
 #include <array>
+#include <string>
 #include <utility>
 
 namespace tarragondrift {
@@ -50,11 +51,16 @@
 
 }  // namespace
 
-upstream_loop::upstream_loop(const upstream_client_options& options,
-                             attempt_callback ended)
-    : options_(options),
-      ended_(std::move(ended)),
-      multi_(curl_multi_init()),
+void AppendHeader(slist_ptr& list, const std::string& line) {
+  curl_slist* const longer = curl_slist_append(list.get(), line.c_str());
+  if (longer != nullptr) {
+    list.release();  // NOLINT: the list's head stays, or was null
+    list.reset(longer);
+  }
+}
+
+transfer_loop::transfer_loop(const transfer_loop_options& options)
+    : multi_(curl_multi_init()),
       epoll_(epoll_create1(EPOLL_CLOEXEC)),
       wake_(eventfd(0, EFD_CLOEXEC | EFD_NONBLOCK)) {
   epoll_event event{.events = EPOLLIN, .data = {.fd = wake_}};
@@ -67,15 +73,15 @@
   curl_multi_setopt(multi_, CURLMOPT_MAXCONNECTS, kMostKeptConnections);
   curl_multi_setopt(
       multi_, CURLMOPT_MAX_HOST_CONNECTIONS,
-      static_cast<long>(options.connections_per_instance));  // NOLINT: its type
+      static_cast<long>(options.connections_per_address));  // NOLINT: its type
   thread_ = std::thread([this] { Loop(); });
 }
 
-upstream_loop::~upstream_loop() {
+transfer_loop::~transfer_loop() {
   stopping_.store(true);
   eventfd_write(wake_, 1);
   thread_.join();
-  for (auto& [easy, attempt] : running_) {
+  for (auto& [easy, work] : running_) {
     curl_multi_remove_handle(multi_, easy);
   }
   running_.clear();
@@ -85,26 +91,21 @@
   close(epoll_);
 }
 
-void upstream_loop::Run(start_task start) {
+void transfer_loop::Run(std::unique_ptr<transfer> work) {
   bool first = false;
   {
     const std::scoped_lock lock(mutex_);
     first = waiting_.empty();
-    waiting_.push_back(std::move(start));
+    waiting_.push_back(std::move(work));
   }
   if (first) {
     eventfd_write(wake_, 1);
   }
 }
 
-upstream_counts upstream_loop::Counts() const {
-  return {.requests = requests_.load(std::memory_order_relaxed),
-          .connections = connections_.load(std::memory_order_relaxed)};
-}
-
-int upstream_loop::OnSocket(CURL* /*easy*/, curl_socket_t socket, int what,
+int transfer_loop::OnSocket(CURL* /*easy*/, curl_socket_t socket, int what,
                             void* self, void* known) {
-  auto* const loop = static_cast<upstream_loop*>(self);
+  auto* const loop = static_cast<transfer_loop*>(self);
   if (what == CURL_POLL_REMOVE) {
     epoll_ctl(loop->epoll_, EPOLL_CTL_DEL, socket, nullptr);
     return 0;
@@ -118,16 +119,16 @@
   return 0;
 }
 
-int upstream_loop::OnTimer(CURLM* /*multi*/,
+int transfer_loop::OnTimer(CURLM* /*multi*/,
                            long timeout_ms,  // NOLINT: libcurl's type
                            void* self) {
-  auto* const loop = static_cast<upstream_loop*>(self);
+  auto* const loop = static_cast<transfer_loop*>(self);
   loop->timer_set_ = timeout_ms >= 0;
   loop->timer_ = steady_clock::now() + milliseconds(timeout_ms);
   return 0;
 }
 
-int upstream_loop::WaitMilliseconds() const {
+int transfer_loop::WaitMilliseconds() const {
   if (!timer_set_) {
     return -1;
   }
@@ -136,7 +137,7 @@
   return static_cast<int>(std::max(left, milliseconds{0}).count());
 }
 
-void upstream_loop::Loop() {
+void transfer_loop::Loop() {
   std::array<epoll_event, kEventsPerWait> events{};
   while (!stopping_.load()) {
     const int count =
@@ -153,7 +154,7 @@
   }
 }
 
-void upstream_loop::HandleSocket(int fd, uint32_t events) {
+void transfer_loop::HandleSocket(int fd, uint32_t events) {
   if (fd == wake_) {
     eventfd_t ignored = 0;
     eventfd_read(wake_, &ignored);
@@ -164,18 +165,18 @@
   curl_multi_socket_action(multi_, fd, ToCurlEvents(events), &active);
 }
 
-void upstream_loop::TakeNewWork() {
-  std::vector<start_task> work;
+void transfer_loop::TakeNewWork() {
+  std::vector<std::unique_ptr<transfer>> work;
   {
     const std::scoped_lock lock(mutex_);
     work.swap(waiting_);
   }
-  for (start_task& start : work) {
-    Begin(std::move(start));
+  for (std::unique_ptr<transfer>& one : work) {
+    Begin(std::move(one));
   }
 }
 
-easy_ptr upstream_loop::TakeHandle() {
+easy_ptr transfer_loop::TakeHandle() {
   if (spare_.empty()) {
     return easy_ptr(curl_easy_init());
   }
@@ -185,18 +186,16 @@
   return easy;
 }
 
-void upstream_loop::Begin(start_task start) {
-  auto attempt = std::make_unique<upstream_attempt>();
-  attempt->start = std::move(start);
-  attempt->easy = TakeHandle();
-  PrepareAttempt(*attempt, options_);
-  requests_.fetch_add(1, std::memory_order_relaxed);
-  CURL* const easy = attempt->easy.get();
-  running_.emplace(easy, std::move(attempt));
-  curl_multi_add_handle(multi_, easy);
+void transfer_loop::Begin(std::unique_ptr<transfer> work) {
+  easy_ptr easy = TakeHandle();
+  CURL* const handle = easy.get();
+  work->Prepare(handle);
+  running_.emplace(handle,
+                   running{.easy = std::move(easy), .work = std::move(work)});
+  curl_multi_add_handle(multi_, handle);
 }
 
-void upstream_loop::Reap() {
+void transfer_loop::Reap() {
   int left = 0;
   while (const CURLMsg* const message = curl_multi_info_read(multi_, &left)) {
     if (message->msg == CURLMSG_DONE) {
@@ -205,19 +204,18 @@
   }
 }
 
-void upstream_loop::Finish(CURL* easy, CURLcode code) {
+void transfer_loop::Finish(CURL* easy, CURLcode code) {
   long connects = 0;  // NOLINT: libcurl's type
   curl_easy_getinfo(easy, CURLINFO_NUM_CONNECTS, &connects);
   connections_.fetch_add(connects, std::memory_order_relaxed);
   curl_multi_remove_handle(multi_, easy);
   const auto at = running_.find(easy);
-  const std::unique_ptr<upstream_attempt> attempt = std::move(at->second);
+  running ended = std::move(at->second);
   running_.erase(at);
-  attempt_result ended = JudgeAttempt(*attempt, code);
+  ended.work->Ended(easy, code);
   if (spare_.size() < kMostSpareHandles) {
-    spare_.push_back(std::move(attempt->easy));
+    spare_.push_back(std::move(ended.easy));
   }
-  ended_(attempt->start.placed, std::move(ended));
 }
 
 }  // namespace tarragondrift
--- a/packages/platform/test/http_client_test.cc
+++ b/packages/ports/test/http_client_test.cc
@@ -1,5 +1,5 @@
 // The HTTP client against a server that fails on purpose.
-#include "tarragondrift/platform/http_client.h"
+#include "tarragondrift/ports/http_client.h"
 
 #include <atomic>
 #include <catch2/catch.hpp>
--- a/packages/platform/test/mock_ports.h
+++ b/packages/ports/test/mock_ports.h
@@ -1,15 +1,15 @@
 // Mocks of the ports to the platform, for the tests of whatever uses them.
-#ifndef TARRAGONDRIFT_PLATFORM_TEST_MOCK_PORTS_H_
-#define TARRAGONDRIFT_PLATFORM_TEST_MOCK_PORTS_H_
+#ifndef TARRAGONDRIFT_PORTS_TEST_MOCK_PORTS_H_
+#define TARRAGONDRIFT_PORTS_TEST_MOCK_PORTS_H_
 
 #include <catch2/catch.hpp>
 #include <catch2/trompeloeil.hpp>
 #include <string>
 #include <vector>
 
-#include "tarragondrift/platform/instances.h"
-#include "tarragondrift/platform/objects.h"
-#include "tarragondrift/platform/table.h"
+#include "tarragondrift/ports/instances.h"
+#include "tarragondrift/ports/objects.h"
+#include "tarragondrift/ports/table.h"
 
 namespace tarragondrift {
 
@@ -41,4 +41,4 @@
 
 }  // namespace tarragondrift
 
-#endif  // TARRAGONDRIFT_PLATFORM_TEST_MOCK_PORTS_H_
+#endif  // TARRAGONDRIFT_PORTS_TEST_MOCK_PORTS_H_
--- a/packages/platform/test/platform_client_test.cc
+++ b/packages/ports/test/platform_client_test.cc
@@ -7,7 +7,7 @@
 #include <vector>
 
 #include "fake_platform.h"
-#include "tarragondrift/platform/clients.h"
+#include "tarragondrift/ports/clients.h"
 
 namespace tarragondrift {
 namespace {
--- a/packages/tool/src/entry_client.h
+++ b/packages/tool/src/entry_client.h
@@ -8,7 +8,7 @@
 #include <string>
 #include <vector>
 
-#include "tarragondrift/platform/http_client.h"
+#include "tarragondrift/ports/http_client.h"
 #include "tool_error.h"
 
 namespace tarragondrift {
