--- /dev/null
+++ b/packages/daemon/src/entry_rows.cc
@@ -0,0 +1,136 @@
+#include "entry_rows.h"
+
+#include <charconv>
+#include <nlohmann/json.hpp>
+#include <utility>
+
+#include "logging.h"
+
+namespace tarragondrift {
+namespace {
+
+using fleet::row_outcome;
+using nlohmann::json;
+
+constexpr const char* kCounterTable = "tarragondrift-counters";
+constexpr const char* kCounterKey = "incarnation";
+/// Between attempts; entries that start at once meet at the counter.
+constexpr std::chrono::milliseconds kRetryPause{100};
+
+}  // namespace
+
+std::string FormatEntryRow(const fleet::entry_identity& identity) {
+  return json{{"incarnation", identity.incarnation},
+              {"address", identity.address},
+              {"data_centre", identity.data_centre}}
+      .dump();
+}
+
+std::optional<fleet::entry_identity> ParseEntryRow(const std::string& name,
+                                                   const std::string& text) {
+  const json row = json::parse(text, nullptr, false);
+  if (!row.is_object() || !row.contains("incarnation") ||
+      !row["incarnation"].is_number_unsigned() || !row.contains("address") ||
+      !row["address"].is_string() || !row.contains("data_centre") ||
+      !row["data_centre"].is_string()) {
+    return std::nullopt;
+  }
+  return fleet::entry_identity{
+      .incarnation = row["incarnation"].get<uint64_t>(),
+      .name = name,
+      .address = row["address"].get<std::string>(),
+      .data_centre = row["data_centre"].get<std::string>()};
+}
+
+entry_rows::entry_rows(const std::unique_ptr<fleet::row_port>& rows,
+                       run_on_owner run)
+    : rows_(rows), run_(std::move(run)) {}
+
+void entry_rows::Tick(instant now) {
+  if (in_flight_ || now < next_) {
+    return;
+  }
+  if (!incarnation_) {
+    in_flight_ = true;
+    AskNumber();
+  } else if (write_due_ && identity_) {
+    in_flight_ = true;
+    WriteRow();
+  }
+}
+
+void entry_rows::AskNumber() {
+  rows_->Read(kCounterTable, kCounterKey,
+              [this](const fleet::versioned_row& row) {
+                run_([this, row](instant now) {
+                  if (row.outcome == row_outcome::kOk) {
+                    TakeNumber(row);
+                  } else {
+                    Pause(now);
+                  }
+                });
+              });
+}
+
+void entry_rows::TakeNumber(const fleet::versioned_row& row) {
+  uint64_t last = 0;
+  std::from_chars(row.value.data(), row.value.data() + row.value.size(), last);
+  const uint64_t mine = last + 1;
+  rows_->Write({.table = kCounterTable,
+                .key = kCounterKey,
+                .value = std::to_string(mine),
+                .expected = row.version},
+               [this, mine](row_outcome outcome) {
+                 run_([this, mine, outcome](instant now) {
+                   if (outcome == row_outcome::kOk) {
+                     in_flight_ = false;
+                     incarnation_ = mine;
+                   } else {
+                     // A write with an unknown end only leaves a number unused.
+                     Pause(now);
+                   }
+                 });
+               });
+}
+
+void entry_rows::Pause(instant now) {
+  in_flight_ = false;
+  next_ = now + kRetryPause;
+}
+
+void entry_rows::Announce(const fleet::entry_identity& identity) {
+  identity_ = identity;
+  write_due_ = true;
+}
+
+void entry_rows::Withdraw() {
+  remove_ = true;
+  write_due_ = identity_.has_value();
+}
+
+void entry_rows::RowChanged(const std::string& text) {
+  if (identity_ && !remove_ && text != FormatEntryRow(*identity_)) {
+    write_due_ = true;
+  }
+}
+
+void entry_rows::WriteRow() {
+  write_due_ = false;
+  rows_->Write({.table = kEntryTable,
+                .key = identity_->name,
+                .value = remove_ ? "" : FormatEntryRow(*identity_),
+                .remove = remove_},
+               [this](row_outcome outcome) {
+                 run_([this, outcome](instant now) {
+                   in_flight_ = false;
+                   if (outcome != row_outcome::kOk) {
+                     log_event(log_level::kWarning, "row_not_written")
+                         .With("table", kEntryTable);
+                     write_due_ = true;
+                     Pause(now);
+                   }
+                 });
+               });
+}
+
+}  // namespace tarragondrift
--- /dev/null
+++ b/packages/daemon/src/fleet_metrics.cc
@@ -0,0 +1,115 @@
+#include "fleet_metrics.h"
+
+#include <sstream>
+
+#include "process_usage.h"
+
+namespace tarragondrift {
+namespace {
+
+void Line(std::ostringstream& page, const char* name, uint64_t value) {
+  page << name << ' ' << value << '\n';
+}
+
+}  // namespace
+
+fleet_snapshot SnapshotOf(const fleet::engine& state) {
+  fleet_snapshot snapshot{
+      .counts = state.counts,
+      .config_version = state.config ? state.config->version : 0,
+      .jobs = state.jobs.size(),
+      .parts = state.parts.size(),
+      .queued_tasks = state.queue.size(),
+      .workers_listed = state.workers.size(),
+      .peers = state.peers.size()};
+  for (const auto& [id, one] : state.workers) {
+    snapshot.workers_held +=
+        one.phase == fleet::control_phase::kHeld ? 1 : 0;
+    snapshot.runs += one.runs.size();
+  }
+  for (const auto& [incarnation, one] : state.peers) {
+    snapshot.peers_silent += one.silent ? 1 : 0;
+  }
+  return snapshot;
+}
+
+void duration_histogram::Add(std::chrono::microseconds value) {
+  for (size_t at = 0; at < kBoundsMs.size(); ++at) {
+    if (value <= std::chrono::milliseconds(kBoundsMs[at])) {
+      ++counts_[at];
+    }
+  }
+  ++count_;
+  sum_ += value;
+}
+
+void duration_histogram::Render(const std::string& name,
+                                std::string& page) const {
+  constexpr double kMillisecondsPerSecond = 1'000;
+  std::ostringstream lines;
+  lines << "# TYPE " << name << " histogram\n";
+  for (size_t at = 0; at < kBoundsMs.size(); ++at) {
+    lines << name << "_bucket{le=\"" << kBoundsMs[at] / kMillisecondsPerSecond
+          << "\"} " << counts_[at] << '\n';
+  }
+  lines << name << "_bucket{le=\"+Inf\"} " << count_ << '\n'
+        << name << "_sum " << std::chrono::duration<double>(sum_).count()
+        << '\n'
+        << name << "_count " << count_ << '\n';
+  page += lines.str();
+}
+
+void fleet_metrics::CountAnswer(result_code code,
+                                std::chrono::microseconds latency) {
+  const std::scoped_lock lock(mutex_);
+  if (code == result_code::kOk) {
+    served_.Add(latency);
+  } else {
+    refused_.Add(latency);
+  }
+}
+
+void fleet_metrics::Update(const fleet_snapshot& snapshot) {
+  const std::scoped_lock lock(mutex_);
+  snapshot_ = snapshot;
+}
+
+std::string fleet_metrics::Render() const {
+  const std::scoped_lock lock(mutex_);
+  const fleet::engine_counts& counts = snapshot_.counts;
+  std::ostringstream page;
+  page << "process_cpu_seconds_total "
+       << std::chrono::duration<double>(ProcessorTime()).count() << '\n';
+  Line(page, "process_resident_memory_bytes", ResidentBytes());
+  Line(page, "tarragondrift_config_version", snapshot_.config_version);
+  Line(page, "tarragondrift_jobs", snapshot_.jobs);
+  Line(page, "tarragondrift_parts", snapshot_.parts);
+  Line(page, "tarragondrift_queued_tasks", snapshot_.queued_tasks);
+  Line(page, "tarragondrift_runs", snapshot_.runs);
+  Line(page, "tarragondrift_workers_listed", snapshot_.workers_listed);
+  Line(page, "tarragondrift_workers_held", snapshot_.workers_held);
+  Line(page, "tarragondrift_peers", snapshot_.peers);
+  Line(page, "tarragondrift_peers_silent", snapshot_.peers_silent);
+  Line(page, "tarragondrift_log_lines_dropped_total",
+       snapshot_.log_lines_dropped);
+  Line(page, "tarragondrift_jobs_total", counts.jobs);
+  Line(page, "tarragondrift_starts_total", counts.starts);
+  Line(page, "tarragondrift_starts_refused_total", counts.starts_refused);
+  Line(page, "tarragondrift_starts_unanswered_total", counts.starts_unknown);
+  Line(page, "tarragondrift_ends_total{how=\"done\"}", counts.ends_done);
+  Line(page, "tarragondrift_ends_total{how=\"failed\"}", counts.ends_failed);
+  Line(page, "tarragondrift_ends_total{how=\"other\"}", counts.ends_other);
+  Line(page, "tarragondrift_stalls_total", counts.stalls);
+  Line(page, "tarragondrift_workers_acquired_total", counts.acquired);
+  Line(page, "tarragondrift_workers_lost_total", counts.lost);
+  for (const auto& [code, count] : counts.answers) {
+    page << "tarragondrift_answers_total{code=\""
+         << DescribeResultCode(code).name << "\"} " << count << '\n';
+  }
+  std::string text = page.str();
+  served_.Render("tarragondrift_served_seconds", text);
+  refused_.Render("tarragondrift_not_served_seconds", text);
+  return text;
+}
+
+}  // namespace tarragondrift
--- /dev/null
+++ b/packages/daemon/src/fleet_metrics.h
@@ -0,0 +1,74 @@
+// What an entry that controls workers counts, and the page that shows it.
+#ifndef TARRAGONDRIFT_DAEMON_FLEET_METRICS_H_
+#define TARRAGONDRIFT_DAEMON_FLEET_METRICS_H_
+
+#include <array>
+#include <chrono>
+#include <cstdint>
+#include <mutex>
+#include <string>
+
+#include "tarragondrift/core/result_code.h"
+#include "tarragondrift/fleet/engine_base.h"
+
+namespace tarragondrift {
+
+/// State of the engine at one moment, for the page.
+struct fleet_snapshot {
+  fleet::engine_counts counts;
+  uint64_t config_version = 0;
+  size_t jobs = 0;
+  size_t parts = 0;
+  size_t queued_tasks = 0;
+  size_t workers_listed = 0;
+  size_t workers_held = 0;
+  size_t runs = 0;
+  size_t peers = 0;
+  size_t peers_silent = 0;
+  uint64_t log_lines_dropped = 0;
+};
+
+/// Reads the state of an engine.
+fleet_snapshot SnapshotOf(const fleet::engine& state);
+
+/// Durations counted by fixed bounds, in constant memory.
+class duration_histogram {
+ public:
+  /// Upper bounds of the buckets, in milliseconds: the users' objectives lie
+  /// between 150 ms and 1.5 s.
+  static constexpr std::array<uint32_t, 10> kBoundsMs{
+      10, 25, 50, 100, 150, 250, 500, 1'000, 1'500, 5'000};
+
+  void Add(std::chrono::microseconds value);
+
+  /// Writes the histogram in the Prometheus text format.
+  void Render(const std::string& name, std::string& page) const;
+
+ private:
+  std::array<uint64_t, kBoundsMs.size()> counts_{};
+  uint64_t count_ = 0;
+  std::chrono::microseconds sum_{0};
+};
+
+/// Counts and latencies; safe to use from every thread.
+class fleet_metrics {
+ public:
+  /// Takes the latency of an answer.
+  void CountAnswer(result_code code, std::chrono::microseconds latency);
+
+  /// Keeps the newest state for the page.
+  void Update(const fleet_snapshot& snapshot);
+
+  /// Writes everything in the Prometheus text format.
+  std::string Render() const;
+
+ private:
+  mutable std::mutex mutex_;
+  fleet_snapshot snapshot_;
+  duration_histogram served_;
+  duration_histogram refused_;
+};
+
+}  // namespace tarragondrift
+
+#endif  // TARRAGONDRIFT_DAEMON_FLEET_METRICS_H_
--- /dev/null
+++ b/packages/daemon/src/fleet_process.cc
@@ -0,0 +1,580 @@
+#include "fleet_process.h"
+
+#include <curl/curl.h>
+
+#include <csignal>
+#include <cstdlib>
+#include <fstream>
+#include <iterator>
+#include <utility>
+#include <variant>
+
+#include "clock.h"
+#include "logging.h"
+#include "platform/job_requests.h"
+#include "platform/operator_config.h"
+#include "platform/runner_calls.h"
+#include "platform/runner_listing.h"
+#include "platform/store_calls.h"
+#include "tarragondrift/fleet/caller_cmd.h"
+#include "tarragondrift/fleet/peer_cmd.h"
+#include "tarragondrift/fleet/worker_cmd.h"
+
+namespace tarragondrift {
+namespace {
+
+using std::chrono::milliseconds;
+
+/// Interval of the engine's ticks; the shortest objective's slack is 96 ms.
+constexpr milliseconds kTickInterval{20};
+/// Interval at which callers are looked at for having left.
+constexpr milliseconds kLeftInterval{40};
+/// Interval at which the settings file is compared with what is in force.
+constexpr milliseconds kSettingsInterval{1'000};
+/// A balancer that asks for readiness each second stops sending after two
+/// misses; until then new connections still come.
+constexpr milliseconds kBalancerNotice{2'200};
+/// New jobs are refused this long before the end of a planned stop: the
+/// longest deadline of callers and time for the answer.
+constexpr milliseconds kLastJobs{1'900};
+/// Kept back from the time between SIGTERM and SIGKILL.
+constexpr milliseconds kStopReserve{500};
+/// Time for answers on their way when a planned stop ends.
+constexpr milliseconds kLastBytes{200};
+/// Callers of an entry that can't take their job come back after this.
+constexpr milliseconds kRetrySoon{1'000};
+
+constexpr int kExitUsage = 2;
+constexpr int kExitFailure = 1;
+
+std::string ReadFile(const std::string& path) {
+  std::ifstream file(path);
+  return {std::istreambuf_iterator<char>(file), {}};
+}
+
+server_response ToResponse(platform::caller_reply reply,
+                           milliseconds retry_after) {
+  return {.status = reply.status,
+          .body = std::move(reply.body),
+          .retry_after = retry_after};
+}
+
+fleet::fleet_options MakeOptions(const platform::boot_settings& settings) {
+  fleet::fleet_options options;
+  // Below the longest lease, so that rounding never shortens it.
+  constexpr milliseconds kLeaseReserve{100};
+  options.lease = settings.longest_lease - kLeaseReserve;
+  options.stop_time = settings.stop_time;
+  return options;
+}
+
+}  // namespace
+
+fleet_process::fleet_process(const platform::boot_settings& settings,
+                             std::string settings_path, uint16_t metrics_port)
+    : settings_(settings),
+      settings_path_(std::move(settings_path)),
+      metrics_port_(metrics_port) {
+  settings_text_ = ReadFile(settings_path_);
+}
+
+fleet_process::~fleet_process() {
+  mailbox_.Close();
+  if (thread_.joinable()) {
+    thread_.join();
+  }
+}
+
+bool fleet_process::Start() {
+  const auto fails = [](const char* what, const std::string& address) {
+    log_event(log_level::kError, "cannot_listen")
+        .With("for", what)
+        .With("address", address);
+    return false;
+  };
+  http_ = async_http_client::Start({});
+  const fleet::fleet_options options = MakeOptions(settings_);
+  workers_ = platform::MakeRunnerPort({.order_timeout = options.order_timeout,
+                                       .hold_timeout = options.hold_timeout},
+                                      *http_);
+  rows_ = platform::MakeStorePort({.address = settings_.store}, *http_);
+  own_rows_ = std::make_unique<entry_rows>(
+      rows_, [this](step work) { Post(std::move(work)); });
+  MakeFollowers();
+
+  const std::string peers =
+      settings_.ip + ':' + std::to_string(settings_.first_peer_port);
+  auto link = fleet_link::Start(
+      {.address = peers}, [this](fleet::envelope received) {
+        return OnPeerEnvelope(std::move(received));
+      });
+  if (!link) {
+    return fails("peers", peers);
+  }
+  link_ = std::move(link).value();
+  auto readiness = http_server::Start(
+      {.address = settings_.readiness, .most_connections = 50},
+      [this](const server_request& request) {
+        const bool ready =
+            request.path == platform::kReadinessPath && ready_.load();
+        return server_response{.status = static_cast<uint16_t>(
+                                   ready ? 200 : 503),
+                               .body = "{}"};
+      });
+  if (!readiness) {
+    return fails("readiness", settings_.readiness);
+  }
+  readiness_ = std::move(readiness).value();
+  const std::string page =
+      settings_.ip + ':' + std::to_string(metrics_port_);
+  auto metrics_page = http_server::Start(
+      {.address = page, .most_connections = 20},
+      [this](const server_request&) {
+        return server_response{.body = metrics_.Render(),
+                               .content_type = "text/plain; version=0.0.4"};
+      });
+  if (!metrics_page) {
+    return fails("metrics", page);
+  }
+  metrics_page_ = std::move(metrics_page).value();
+  auto callers = held_http_server::Start(
+      {.address = settings_.callers,
+       .extra_header = platform::kPatienceHeader},
+      [this](held_request request) { OnRequest(std::move(request)); });
+  if (!callers) {
+    return fails("callers", settings_.callers);
+  }
+  callers_ = std::move(callers).value();
+  thread_ = std::thread([this] { Loop(); });
+  return true;
+}
+
+void fleet_process::MakeFollowers() {
+  const auto run = [this](step work) { Post(std::move(work)); };
+  config_follower_ = std::make_unique<table_follower>(
+      table_follower_options{.table = platform::kConfigTable}, rows_, run,
+      [this](const fleet::row_change& row, instant now) {
+        OnConfigRow(row, now);
+      });
+  worker_follower_ = std::make_unique<table_follower>(
+      table_follower_options{.table = platform::kRunnerTable}, rows_, run,
+      [this](const fleet::row_change& row, instant now) {
+        OnWorkerRow(row, now);
+      });
+  entry_follower_ = std::make_unique<table_follower>(
+      table_follower_options{.table = kEntryTable}, rows_, run,
+      [this](const fleet::row_change& row, instant now) {
+        OnEntryRow(row, now);
+      });
+}
+
+void fleet_process::BeginStop() {
+  Post([this](instant now) {
+    if (stop_begun_) {
+      return;
+    }
+    stop_begun_ = now;
+    ready_.store(false);
+    callers_->CloseAfterAnswers();
+    own_rows_->Withdraw();
+    if (joined_.load() != 0) {
+      fleet::BeginLeaving(engine_, now);
+    }
+  });
+}
+
+void fleet_process::Reload() {
+  Post([this](instant) { ApplySettings("signal"); });
+}
+
+void fleet_process::Wait() { thread_.join(); }
+
+void fleet_process::Loop() {
+  next_tick_ = Now();
+  while (!mailbox_.Closed()) {
+    const std::vector<step> work =
+        mailbox_.TakeUntil(ToSteady(next_tick_));
+    const instant now = Now();
+    for (const step& one : work) {
+      one(now);
+    }
+    if (now >= next_tick_) {
+      next_tick_ = now + kTickInterval;
+      TickAll(now);
+    }
+    if (joined_.load() != 0) {
+      fleet::Settle(engine_, now);
+    }
+    Execute(now);
+    if (stop_begun_ && StopIsOver(now)) {
+      return;
+    }
+  }
+}
+
+void fleet_process::TickAll(instant now) {
+  own_rows_->Tick(now);
+  config_follower_->Tick(now);
+  worker_follower_->Tick(now);
+  entry_follower_->Tick(now);
+  CheckSettingsFile(now);
+  if (joined_.load() == 0) {
+    JoinWhenNumbered(now);
+    return;
+  }
+  FindLeftCallers(now);
+  fleet::Tick(engine_, now);
+  ready_.store(!stop_begun_ && fleet::IsReady(engine_));
+  if (stop_begun_ &&
+      now - *stop_begun_ >= settings_.stop_grace - kStopReserve - kLastJobs) {
+    refusing_.store(true);
+  }
+  fleet_snapshot snapshot = SnapshotOf(engine_);
+  snapshot.log_lines_dropped = limiter_.Dropped();
+  waiting_jobs_.store(snapshot.queued_tasks);
+  metrics_.Update(snapshot);
+}
+
+void fleet_process::JoinWhenNumbered(instant now) {
+  const std::optional<uint64_t> number = own_rows_->Incarnation();
+  if (!number || stop_begun_) {
+    return;
+  }
+  const fleet::entry_identity self{
+      .incarnation = *number,
+      .name = settings_.instance,
+      .address =
+          settings_.ip + ':' + std::to_string(settings_.first_peer_port),
+      .data_centre = settings_.data_centre};
+  // What the followers told before stays.
+  engine_.self = self;
+  engine_.options = MakeOptions(settings_);
+  engine_.started = now;
+  engine_.next_beat = now;
+  engine_.next_control = now;
+  joined_.store(*number);
+  own_rows_->Announce(self);
+  log_event(log_level::kInfo, "joined")
+      .With("incarnation", static_cast<int64_t>(*number))
+      .With("instance", self.name)
+      .With("address", self.address)
+      .With("data_centre", self.data_centre);
+}
+
+void fleet_process::FindLeftCallers(instant now) {
+  if (now < next_left_check_) {
+    return;
+  }
+  next_left_check_ = now + kLeftInterval;
+  for (const uint64_t number : callers_->TakeLeft()) {
+    fleet::CallerLeft(engine_, number, now);
+    arrivals_.erase(number);
+    // Frees the connection; nobody reads this.
+    callers_->Respond(number, {.status = 503, .body = "{}"});
+  }
+}
+
+void fleet_process::CheckSettingsFile(instant now) {
+  if (now < next_settings_check_) {
+    return;
+  }
+  next_settings_check_ = now + kSettingsInterval;
+  if (ReadFile(settings_path_) != settings_text_) {
+    ApplySettings("file_changed");
+  }
+}
+
+void fleet_process::ApplySettings(const std::string& cause) {
+  const std::string text = ReadFile(settings_path_);
+  const auto parsed = platform::ParseBootSettings(text);
+  if (!parsed) {
+    // Half-written files are read again.
+    log_event(log_level::kWarning, "settings_unreadable").With("cause", cause);
+    return;
+  }
+  settings_text_ = text;
+  const platform::boot_settings& fresh = parsed.value();
+  log_event(log_level::kInfo, "settings_reloaded")
+      .With("cause", cause)
+      .With("changed", fresh == settings_ ? "no" : "yes");
+  if (fresh.store != settings_.store) {
+    rows_ = platform::MakeStorePort({.address = fresh.store}, *http_);
+  }
+  // Addresses that are listened on hold until the process ends.
+  settings_.store = fresh.store;
+  settings_.stop_grace = fresh.stop_grace;
+  settings_.stop_time = fresh.stop_time;
+  settings_.longest_lease = fresh.longest_lease;
+  engine_.options = MakeOptions(settings_);
+}
+
+bool fleet_process::StopIsOver(instant now) const {
+  const auto since = now - *stop_begun_;
+  if (since >= settings_.stop_grace - kStopReserve) {
+    log_event(log_level::kWarning, "stop_forced")
+        .With("held", static_cast<int64_t>(callers_->Held()));
+    return true;
+  }
+  return since >= kBalancerNotice && callers_->Unsent() == 0 &&
+         (joined_.load() == 0 || fleet::HasLeft(engine_));
+}
+
+void fleet_process::OnRequest(held_request request) {
+  const uint64_t number = request.number;
+  const auto refuse = [this, number](result_code code) {
+    callers_->Respond(number, ToResponse(platform::SubmissionReply(code),
+                                         PromisesNotRun(code)
+                                             ? kRetrySoon
+                                             : milliseconds{0}));
+  };
+  const std::shared_ptr<const fleet::fleet_config> config = config_.load();
+  if (config == nullptr || joined_.load() == 0) {
+    refuse(result_code::kNotRunNoConfig);
+    return;
+  }
+  const fleet::queue_config* const queue =
+      fleet::FindQueue(*config, request.host, request.path);
+  if (queue == nullptr) {
+    callers_->Respond(number, ToResponse(platform::NoQueueReply(), {}));
+    return;
+  }
+  if (request.too_large || request.body.size() > config->most_body_bytes) {
+    refuse(result_code::kRequestTooLarge);
+    return;
+  }
+  std::string id = request.path.substr(queue->path_prefix.size());
+  switch (platform::KindOf(request.method, id)) {
+    case platform::request_kind::kSubmit:
+      if (refusing_.load()) {
+        refuse(result_code::kNotRunDraining);
+      } else {
+        OnSubmit(std::move(request), *queue, std::move(id));
+      }
+      return;
+    case platform::request_kind::kPending:
+      // Jobs are not stored; those that wait do so for less than a second.
+      callers_->Respond(number, ToResponse(platform::PendingReply(0), {}));
+      return;
+    case platform::request_kind::kState:
+      Post([this, number, id](instant) {
+        callers_->Respond(
+            number, ToResponse(platform::StateReply(
+                                   engine_.job_by_id.contains(id)),
+                               {}));
+      });
+      return;
+    case platform::request_kind::kCancel:
+      Post([this, number, id](instant now) {
+        const bool known = fleet::CancelJob(engine_, id, now);
+        callers_->Respond(number,
+                          ToResponse(platform::CancelReply(known), {}));
+      });
+      return;
+    case platform::request_kind::kUnknown:
+      callers_->Respond(number, ToResponse(platform::NoQueueReply(), {}));
+      return;
+  }
+}
+
+void fleet_process::OnSubmit(held_request request,
+                             const fleet::queue_config& queue,
+                             std::string id) {
+  const uint64_t number = request.number;
+  result<fleet::job_spec> job =
+      platform::ParseJob(std::move(id), request.body);
+  if (!job) {
+    callers_->Respond(number,
+                      ToResponse(platform::SubmissionReply(job.error()), {}));
+    return;
+  }
+  fleet::job_arrival arrival{
+      .request = number,
+      .queue = queue.name,
+      .spec = std::move(job).value(),
+      .patience = milliseconds(std::strtoul(request.extra.c_str(), nullptr,
+                                            10))};
+  Post([this, arrival = std::move(arrival)](instant now) {
+    arrivals_[arrival.request] = now;
+    fleet::SubmitJob(engine_, arrival, now);
+  });
+}
+
+void fleet_process::OnConfigRow(const fleet::row_change& row, instant now) {
+  if (row.key == platform::kConfigKey && !row.removed) {
+    OnConfigText(row.value, "store", now);
+  }
+}
+
+void fleet_process::OnConfigText(const std::string& text, const char* source,
+                                 instant now) {
+  const auto parsed = platform::ParseOperatorConfig(text);
+  if (!parsed) {
+    log_event(log_level::kWarning, "config_unreadable").With("source", source);
+    return;
+  }
+  auto fresh =
+      std::make_shared<const fleet::fleet_config>(parsed.value());
+  if (fleet::ApplyConfig(engine_, fresh, text, now)) {
+    config_.store(std::move(fresh));
+  }
+}
+
+void fleet_process::OnWorkerRow(const fleet::row_change& row, instant now) {
+  if (row.removed) {
+    fleet::UnlistWorker(engine_, row.key, now);
+    return;
+  }
+  const auto parsed = platform::ParseRunner(row.key, row.value);
+  if (!parsed) {
+    log_event(log_level::kWarning, "worker_row_unreadable")
+        .With("worker", row.key);
+    fleet::UnlistWorker(engine_, row.key, now);
+    return;
+  }
+  fleet::ListWorker(engine_, parsed.value(), now);
+}
+
+void fleet_process::OnEntryRow(const fleet::row_change& row, instant now) {
+  if (row.key == settings_.instance) {
+    own_rows_->RowChanged(row.value);
+    return;
+  }
+  if (row.removed) {
+    fleet::DropPeerRow(engine_, row.key, now);
+  } else if (const auto identity = ParseEntryRow(row.key, row.value)) {
+    fleet::FindPeer(engine_, *identity, now);
+  }
+}
+
+bool fleet_process::OnPeerEnvelope(fleet::envelope received) {
+  if (received.to != joined_.load()) {
+    return false;
+  }
+  Post([this, received = std::move(received)](instant now) {
+    for (const fleet::peer_message& message : received.messages) {
+      if (const auto* news = std::get_if<fleet::config_news>(&message)) {
+        OnConfigText(news->text, "peer", now);
+      }
+    }
+    fleet::OnEnvelope(engine_, received, now);
+  });
+  return true;
+}
+
+void fleet_process::Execute(instant now) {
+  for (const fleet::action& one : fleet::TakeActions(engine_)) {
+    std::visit(
+        [this, now](const auto& order) {
+          using kind = std::decay_t<decltype(order)>;
+          if constexpr (std::is_same_v<kind, fleet::log_note>) {
+            if (limiter_.Take(now)) {
+              LogLine(order.warning ? log_level::kWarning : log_level::kInfo,
+                      order.line);
+            }
+          } else if constexpr (std::is_same_v<kind, fleet::caller_answer>) {
+            Execute(order, now);
+          } else if constexpr (!std::is_same_v<kind, fleet::row_write>) {
+            Execute(order);
+          }
+        },
+        one);
+  }
+}
+
+void fleet_process::Execute(const fleet::start_order& order) {
+  workers_->Start(order, [this, id = order.target.id, name = order.name](
+                             fleet::start_outcome outcome, int64_t clock_ms) {
+    Post([=, this](instant now) {
+      fleet::OnStartReply(engine_, id, name, outcome, clock_ms, now);
+    });
+  });
+}
+
+void fleet_process::Execute(const fleet::stop_order& order) {
+  workers_->Stop(order, [this, id = order.target.id, name = order.name](
+                            fleet::stop_outcome outcome, int64_t clock_ms) {
+    Post([=, this](instant now) {
+      fleet::OnStopReply(engine_, id, name, outcome, clock_ms, now);
+    });
+  });
+}
+
+void fleet_process::Execute(const fleet::hold_order& order) {
+  workers_->Hold(order, [this, id = order.target.id, number = order.number](
+                            const fleet::hold_reply& reply, int64_t clock_ms) {
+    Post([=, this](instant now) {
+      fleet::OnHoldReply(engine_, id, number, reply, clock_ms, now);
+    });
+  });
+}
+
+void fleet_process::Execute(const fleet::caller_answer& answer, instant now) {
+  const auto arrived = arrivals_.find(answer.request);
+  if (arrived != arrivals_.end()) {
+    metrics_.CountAnswer(answer.code, now - arrived->second);
+    arrivals_.erase(arrived);
+  }
+  const bool come_back = PromisesNotRun(answer.code);
+  callers_->Respond(answer.request,
+                    ToResponse(platform::SubmissionReply(answer.code),
+                               come_back ? answer.retry_after
+                                         : milliseconds{0}));
+}
+
+void fleet_process::Execute(const fleet::peer_send& message) {
+  link_->Deliver(message.address, message.content,
+                 [this, to = message.content.to](fleet::delivery outcome) {
+                   Post([=, this](instant now) {
+                     fleet::OnDelivery(engine_, to, outcome, now);
+                   });
+                 });
+}
+
+int ServeFleet(uint16_t metrics_port) {
+  const char* const path = std::getenv(platform::kSettingsVariable);
+  if (path == nullptr) {
+    LogLine(log_level::kError,
+            std::string("event=settings_missing variable=") +
+                platform::kSettingsVariable);
+    return kExitUsage;
+  }
+  const auto settings = platform::ParseBootSettings(ReadFile(path));
+  if (!settings) {
+    log_event(log_level::kError, "settings_unreadable").With("path", path);
+    return kExitUsage;
+  }
+  sigset_t signals;
+  sigemptyset(&signals);
+  sigaddset(&signals, SIGTERM);
+  sigaddset(&signals, SIGINT);
+  sigaddset(&signals, SIGHUP);
+  pthread_sigmask(SIG_BLOCK, &signals, nullptr);
+  std::signal(SIGPIPE, SIG_IGN);  // NOLINT: writes report broken pipes
+  curl_global_init(CURL_GLOBAL_DEFAULT);
+  fleet_process process(settings.value(), path, metrics_port);
+  if (!process.Start()) {
+    return kExitFailure;
+  }
+  log_event(log_level::kInfo, "started")
+      .With("instance", settings.value().instance)
+      .With("callers", settings.value().callers)
+      .With("store", settings.value().store);
+  // It ends with the process.
+  std::thread([&process, signals] {
+    int number = 0;
+    while (sigwait(&signals, &number) == 0) {
+      if (number == SIGHUP) {
+        process.Reload();
+      } else {
+        process.BeginStop();
+      }
+    }
+  }).detach();
+  process.Wait();
+  log_event(log_level::kInfo, "stopped");
+  std::this_thread::sleep_for(kLastBytes);
+  // Threads of libraries may still call back: nothing is torn down.
+  std::_Exit(0);
+}
+
+}  // namespace tarragondrift
--- /dev/null
+++ b/packages/daemon/src/log_limiter.h
@@ -0,0 +1,44 @@
+// Bounds the lines of the log in a second.
+#ifndef TARRAGONDRIFT_DAEMON_LOG_LIMITER_H_
+#define TARRAGONDRIFT_DAEMON_LOG_LIMITER_H_
+
+#include <algorithm>
+#include <chrono>
+#include <cstdint>
+
+#include "tarragondrift/core/time_base.h"
+
+namespace tarragondrift {
+
+/// A token bucket of lines; owned by one thread.
+class log_limiter {
+ public:
+  /// Takes a line's token.
+  /// @return whether the line may be written.
+  bool Take(instant now) {
+    const double seconds = std::chrono::duration<double>(now - last_).count();
+    last_ = now;
+    tokens_ = std::min(kBurst, tokens_ + seconds * kLinesPerSecond);
+    if (tokens_ < 1) {
+      ++dropped_;
+      return false;
+    }
+    tokens_ -= 1;
+    return true;
+  }
+
+  uint64_t Dropped() const { return dropped_; }
+
+ private:
+  // Some lines a job at the users' rate for one entry, with room for bursts.
+  static constexpr double kLinesPerSecond = 200;
+  static constexpr double kBurst = 1'000;
+
+  double tokens_ = kBurst;
+  instant last_;
+  uint64_t dropped_ = 0;
+};
+
+}  // namespace tarragondrift
+
+#endif  // TARRAGONDRIFT_DAEMON_LOG_LIMITER_H_
--- a/packages/daemon/src/logging.cc
+++ b/packages/daemon/src/logging.cc
@@ -1,5 +1,6 @@
 #include "logging.h"
 
+#include <log4cxx/asyncappender.h>
 #include <log4cxx/consoleappender.h>
 #include <log4cxx/fileappender.h>
 #include <log4cxx/logger.h>
@@ -50,25 +51,42 @@
   Root()->setLevel(log4cxx::Level::getInfo());
 }
 
-log_event::log_event(log_level level, std::string_view name) : level_(level) {
-  line_ = "event=";
-  line_ += name;
+void OpenQueuedLog() {
+  // Lines that wait for the writing thread; some seconds at the usual rate.
+  constexpr int kQueuedLines = 1'024;
+  const auto layout = std::make_shared<log4cxx::PatternLayout>(kPattern);
+  const auto console = std::make_shared<log4cxx::ConsoleAppender>(
+      layout, log4cxx::ConsoleAppender::getSystemOut());
+  const auto queue = std::make_shared<log4cxx::AsyncAppender>();
+  queue->setBufferSize(kQueuedLines);
+  queue->setBlocking(false);
+  queue->addAppender(console);
+  Root()->removeAllAppenders();
+  Root()->addAppender(queue);
+  Root()->setLevel(log4cxx::Level::getInfo());
 }
 
-log_event::~log_event() {
-  switch (level_) {
+void LogLine(log_level level, const std::string& line) {
+  switch (level) {
     case log_level::kInfo:
-      LOG4CXX_INFO(Root(), line_);
+      LOG4CXX_INFO(Root(), line);
       break;
     case log_level::kWarning:
-      LOG4CXX_WARN(Root(), line_);
+      LOG4CXX_WARN(Root(), line);
       break;
     case log_level::kError:
-      LOG4CXX_ERROR(Root(), line_);
+      LOG4CXX_ERROR(Root(), line);
       break;
   }
 }
 
+log_event::log_event(log_level level, std::string_view name) : level_(level) {
+  line_ = "event=";
+  line_ += name;
+}
+
+log_event::~log_event() { LogLine(level_, line_); }
+
 log_event& log_event::With(std::string_view key, std::string_view value) {
   line_ += ' ';
   line_ += key;
--- a/packages/daemon/src/logging.h
+++ b/packages/daemon/src/logging.h
@@ -15,6 +15,13 @@
 /// @param target a file's name, or "-" for standard error.
 void OpenLog(const std::string& target);
 
+/// Opens the log on standard output, written by a thread of its own; lines
+/// beyond a bounded queue are dropped, so that no thread waits for a reader.
+void OpenQueuedLog();
+
+/// Writes a line that is already made of key=value pairs.
+void LogLine(log_level level, const std::string& line);
+
 /// One event; it is written when the object goes out of scope.
 class log_event {
  public:
--- a/packages/daemon/src/main.cc
+++ b/packages/daemon/src/main.cc
@@ -13,6 +13,7 @@
 #include <string>
 #include <vector>
 
+#include "fleet_process.h"
 #include "logging.h"
 #include "mailbox.h"
 #include "process.h"
@@ -109,6 +110,9 @@
     case run_mode::kCheck:
       std::cout << "settings are in order\n";
       return 0;
+    case run_mode::kServeFleet:
+      OpenQueuedLog();
+      return ServeFleet(parsed.value.metrics_port);
     case run_mode::kServe:
       break;
   }
--- a/packages/daemon/src/metrics.cc
+++ b/packages/daemon/src/metrics.cc
@@ -1,12 +1,10 @@
 #include "metrics.h"
 
-#include <sys/resource.h>
-#include <unistd.h>
-
 #include <array>
-#include <fstream>
 #include <sstream>
 
+#include "process_usage.h"
+
 namespace tarragondrift {
 namespace {
 
@@ -47,25 +45,6 @@
   return "unknown";
 }
 
-/// Gives the processor time that the process has used.
-std::chrono::microseconds ProcessorTime() {
-  rusage usage{};
-  getrusage(RUSAGE_SELF, &usage);
-  using std::chrono::microseconds;
-  using std::chrono::seconds;
-  return seconds(usage.ru_utime.tv_sec + usage.ru_stime.tv_sec) +
-         microseconds(usage.ru_utime.tv_usec + usage.ru_stime.tv_usec);
-}
-
-/// Gives the bytes of memory that the process holds.
-uint64_t ResidentBytes() {
-  std::ifstream statm("/proc/self/statm");
-  uint64_t total_pages = 0;
-  uint64_t resident_pages = 0;
-  statm >> total_pages >> resident_pages;
-  return resident_pages * static_cast<uint64_t>(sysconf(_SC_PAGESIZE));
-}
-
 double InSeconds(std::chrono::microseconds value) {
   return std::chrono::duration<double>(value).count();
 }
@@ -156,7 +135,7 @@
   counter("tarragondrift_upstream_requests_total", upstreams.requests);
   counter("tarragondrift_upstream_connections_total", upstreams.connections);
   counter("tarragondrift_peer_messages_total", messages_.peers.load());
-  counter("tarragondrift_ports_messages_total", messages_.platform.load());
+  counter("tarragondrift_platform_messages_total", messages_.platform.load());
   const std::scoped_lock lock(mutex_);
   page += "# TYPE tarragondrift_answers_total counter\n";
   for (const auto& [code, count] : answers_) {
--- a/packages/daemon/src/settings.cc
+++ b/packages/daemon/src/settings.cc
@@ -106,13 +106,14 @@
 }
 
 constexpr uint64_t kMostDataCentre = 65'535;
+constexpr uint64_t kMostPort = 65'535;
 constexpr uint64_t kMostConnections = 20'000;
 constexpr uint64_t kMostUpstreamThreads = 64;
 constexpr milliseconds kLongestDrain{3'600'000};
 constexpr milliseconds kShortestPoll{100};
 constexpr milliseconds kLongestPoll{60'000};
 
-constexpr std::array<flag, 16> kFlags{{
+constexpr std::array<flag, 17> kFlags{{
     {"environment",
      [](settings& to, const std::string& text) {
        return SetEnvironment(to.environment, text);
@@ -195,11 +196,17 @@
                               kLongestPoll);
      },
      false, "between two looks at the platform (1000)"},
+    {"metrics-port",
+     [](settings& to, const std::string& text) {
+       return SetNumber(to.metrics_port, text, 1, kMostPort);
+     },
+     false, "with --fleet: port of the metrics page (9464)"},
 }};
 
 constexpr int kHelpOption = 1'000;
 constexpr int kVersionOption = 1'001;
 constexpr int kCheckOption = 1'002;
+constexpr int kFleetOption = 1'003;
 
 /// Gives the environment variable of a flag.
 std::string VariableName(const flag& of) {
@@ -222,6 +229,7 @@
   }
   options.push_back({"help", no_argument, nullptr, kHelpOption});
   options.push_back({"version", no_argument, nullptr, kVersionOption});
+  options.push_back({"fleet", no_argument, nullptr, kFleetOption});
   options.push_back({"check", no_argument, nullptr, kCheckOption});
   options.push_back({nullptr, 0, nullptr, 0});
   return options;
@@ -260,6 +268,8 @@
       into.parsed.value.mode = run_mode::kHelp;
     } else if (chosen == kVersionOption) {
       into.parsed.value.mode = run_mode::kVersion;
+    } else if (chosen == kFleetOption) {
+      into.parsed.value.mode = run_mode::kServeFleet;
     } else if (chosen == kCheckOption) {
       into.parsed.value.mode = run_mode::kCheck;
     } else if (chosen == '?') {
@@ -322,6 +332,9 @@
     text += line + one.meaning + (one.required ? ", required\n" : "\n");
   }
   text +=
+      "  --fleet               control leased workers of the platform whose\n"
+      "                        settings file TARRAGONDRIFT_BOOT names; the\n"
+      "                        required flags are not needed then\n"
       "  --check               check the settings, then exit\n"
       "  --help                show this text\n"
       "  --version             show the version\n";
--- a/packages/daemon/src/settings.h
+++ b/packages/daemon/src/settings.h
@@ -11,7 +11,7 @@
 namespace tarragondrift {
 
 /// What the process is asked to do.
-enum class run_mode : uint8_t { kServe, kCheck, kHelp, kVersion };
+enum class run_mode : uint8_t { kServe, kServeFleet, kCheck, kHelp, kVersion };
 
 /// All settings of one entry process.
 struct settings {
@@ -38,6 +38,8 @@
   uint32_t upstream_threads = 2;
   std::chrono::milliseconds drain_timeout{30'000};
   std::chrono::milliseconds poll_interval{1'000};
+  /// Port of the metrics page of an entry that controls workers.
+  uint16_t metrics_port = 9'464;
 };
 
 /// Settings, or all that is wrong with them.
--- a/packages/link/src/fleet_link.cc
+++ b/packages/link/src/fleet_link.cc
@@ -1,5 +1,6 @@
 #include "tarragondrift/link/fleet_link.h"
 
+#include <grpc/support/time.h>
 #include <grpcpp/grpcpp.h>
 
 #include <condition_variable>
@@ -79,8 +80,10 @@
                delivery_callback done) override {
     auto call = std::make_shared<delivery_call>();
     Encode(content, call->request);
-    call->context.set_deadline(std::chrono::system_clock::now() +
-                               options_.timeout);
+    // The time of day may jump; the monotonic clock does not.
+    call->context.set_deadline(gpr_time_add(
+        gpr_now(GPR_CLOCK_MONOTONIC),
+        gpr_time_from_millis(options_.timeout.count(), GPR_TIMESPAN)));
     {
       const std::scoped_lock lock(mutex_);
       ++running_;
@@ -95,7 +98,7 @@
   }
 
  private:
-  void Finish(const std::string& address, const delivery_call& call,
+  void Finish(const std::string& address, delivery_call& call,
               const grpc::Status& status, const delivery_callback& done) {
     if (!status.ok()) {
       done(fleet::delivery::kLost);
@@ -105,14 +108,15 @@
     }
     const std::scoped_lock lock(mutex_);
     if (!status.ok()) {
-      // The next delivery makes a connection of its own. The old channel must
-      // not be destroyed on a thread of the library: `Deliver` does it.
+      // The next delivery makes a connection of its own.
       const auto at = stubs_.find(address);
       if (at != stubs_.end() && at->second == call.stub) {
-        retired_.push_back(std::move(at->second));
         stubs_.erase(at);
       }
     }
+    // A channel must not be destroyed on a thread of the library: `Deliver`
+    // does it.
+    retired_.push_back(std::move(call.stub));
     --running_;
     ended_.notify_all();
   }
--- a/packages/tool/src/load_command.cc
+++ b/packages/tool/src/load_command.cc
@@ -78,7 +78,7 @@
   double messages = 0;
   for (const char* metric : {"tarragondrift_upstream_requests_total",
                              "tarragondrift_peer_messages_total",
-                             "tarragondrift_ports_messages_total"}) {
+                             "tarragondrift_platform_messages_total"}) {
     messages += SumMetric(page, metric).value_or(0);
   }
   return messages;
