--- a/packages/fleet/src/worker_cmd.cc
+++ b/packages/fleet/src/worker_cmd.cc
@@ -436,6 +436,18 @@
                    .last_order = now};
   at.used = at.used + step.need;
   ++state.counts.starts;
+  note_line line("task_start");
+  line.With("job", name.task.job)
+      .With("index", static_cast<int64_t>(name.task.index))
+      .With("run", static_cast<int64_t>(name.run))
+      .With("worker", at.listing.id)
+      .With("expected_ms", at.runs[name].expected.count())
+      .With("slowness_pct", static_cast<int64_t>(at.slowness * 100))
+      .With("free_milli", static_cast<int64_t>(at.listing.room.cpu_milli -
+                                               at.used.cpu_milli))
+      .With("age_ms",
+            std::chrono::floor<milliseconds>(now - ordered.arrived).count());
+  Note(state, line);
   state.out.emplace_back(start_order{.target = TargetOf(at),
                                      .name = name,
                                      .payload = ordered.job.payload,
