A task gets the slowest worker that is fast enough for a long run

Cause: a class of tasks is not tight or loose by its expected time: declared times are off by 40%, the deadline is absolute and the objective grows with the work. Strictly fastest-first let shorter tasks take the fast workers.

--- a/packages/daemon/src/fleet_process.cc
+++ b/packages/daemon/src/fleet_process.cc
@@ -39,8 +39,10 @@
 constexpr milliseconds kLastJobs{1'900};
 /// Kept back from the time between SIGTERM and SIGKILL.
 constexpr milliseconds kStopReserve{500};
-/// Time for answers on their way when a planned stop ends.
-constexpr milliseconds kLastBytes{200};
+/// Time without new connections before a planned stop ends.
+constexpr milliseconds kLastCalls{300};
+/// Time for bytes on their way before the process exits.
+constexpr milliseconds kLastBytes{20};
 /// Workers refresh their rows all the time; a leaving one gets nothing new
 /// within 2 s, so this much later is early enough.
 constexpr milliseconds kWorkerBatchPause{500};
@@ -316,14 +318,21 @@
   engine_.options = MakeOptions(settings_);
 }
 
-bool fleet_process::StopIsOver(instant now) const {
+bool fleet_process::StopIsOver(instant now) {
   const auto since = now - *stop_begun_;
   if (since >= settings_.stop_grace - kStopReserve) {
     log_event(log_level::kWarning, "stop_forced")
         .With("held", static_cast<int64_t>(callers_->Held()));
     return true;
   }
-  return since >= kBalancerNotice && callers_->Unsent() == 0 &&
+  if (!last_calls_ && since >= kBalancerNotice &&
+      (joined_.load() == 0 || fleet::HasLeft(engine_))) {
+    last_calls_ = now;
+    callers_->StopAccepting();
+  }
+  // Requests that were on their way on open connections are still answered.
+  return last_calls_ && now - *last_calls_ >= kLastCalls &&
+         callers_->Unsent() == 0 &&
          (joined_.load() == 0 || fleet::HasLeft(engine_));
 }
 
--- a/packages/daemon/src/fleet_process.h
+++ b/packages/daemon/src/fleet_process.h
@@ -64,7 +64,7 @@
   void FindLeftCallers(instant now);
   void CheckSettingsFile(instant now);
   void ApplySettings(const std::string& cause);
-  bool StopIsOver(instant now) const;
+  bool StopIsOver(instant now);
 
   void OnRequest(held_request request);
   void OnSubmit(held_request request, const fleet::queue_config& queue,
@@ -99,6 +99,8 @@
   /// When each waiting request arrived.
   std::unordered_map<uint64_t, instant> arrivals_;
   std::optional<instant> stop_begun_;
+  /// When a planned stop stopped taking connections.
+  std::optional<instant> last_calls_;
   std::atomic<bool> refusing_{false};
   instant next_tick_;
   instant next_left_check_;
--- a/packages/fleet/include/tarragondrift/fleet/peer_base.h
+++ b/packages/fleet/include/tarragondrift/fleet/peer_base.h
@@ -38,8 +38,11 @@
 
 /// Room and backlog at the workers of one upstream that an entry controls.
 struct load_report {
-  /// Tasks of mean size that could start now.
+  /// Tasks of mean size that could start now, on all workers, on those that
+  /// are not slow, and on fast ones.
   uint32_t free_tasks = 0;
+  uint32_t free_not_slow = 0;
+  uint32_t free_fast = 0;
   /// Queued tasks whose slack is within each of kSlackBounds.
   std::array<uint32_t, kSlackBounds.size()> queued_within{};
   /// Tasks that end in a second, from what runs now.
--- a/packages/fleet/include/tarragondrift/fleet/placement_cmd.h
+++ b/packages/fleet/include/tarragondrift/fleet/placement_cmd.h
@@ -3,12 +3,24 @@
 #ifndef TARRAGONDRIFT_FLEET_PLACEMENT_CMD_H_
 #define TARRAGONDRIFT_FLEET_PLACEMENT_CMD_H_
 
+#include <chrono>
 #include <string>
 
 #include "tarragondrift/fleet/engine_base.h"
 
 namespace tarragondrift::fleet {
 
+/// Running times relative to the expected ones below which a worker is fast,
+/// and above which it is slow; the users' sound workers have 0.8, 1 and 1.25.
+inline constexpr double kFastBelow = 0.9;
+inline constexpr double kSlowAbove = 1.12;
+
+/// Gives the slowness that a worker may have to do a task in time, whose real
+/// running time may be well above the expected one.
+double WantedSlowness(std::chrono::microseconds expected,
+                      std::chrono::microseconds objective_left,
+                      std::chrono::microseconds deadline_left);
+
 /// Tells whether a worker that is held takes new runs now.
 bool TakesStarts(const engine& state, const worker& one, instant now);
 
--- a/packages/fleet/include/tarragondrift/fleet/spread_cmd.h
+++ b/packages/fleet/include/tarragondrift/fleet/spread_cmd.h
@@ -27,12 +27,22 @@
 std::chrono::microseconds PredictWait(const load_report& load, uint32_t tasks,
                                       std::chrono::microseconds slack);
 
+/// What is spread.
+struct spread_request {
+  uint32_t tasks = 0;
+  /// Time that the tasks can wait and still be on time.
+  std::chrono::microseconds slack{0};
+  /// Running time that a slow worker adds to tasks with little time, and that
+  /// a worker that is not fast adds; 0 for tasks with time enough.
+  std::chrono::microseconds slow_cost{0};
+  std::chrono::microseconds not_fast_cost{0};
+};
+
 /// Spreads tasks so that the longest wait is short and few controllers are
 /// used; fills in `given`.
 /// @return the longest predicted wait.
 std::chrono::microseconds SpreadTasks(std::vector<spread_candidate>& candidates,
-                                      uint32_t tasks,
-                                      std::chrono::microseconds slack);
+                                      const spread_request& request);
 
 /// Picks when refused callers should come back: after the predicted wait,
 /// within the limits.
--- a/packages/fleet/src/caller_cmd.cc
+++ b/packages/fleet/src/caller_cmd.cc
@@ -87,6 +87,8 @@
   load_report& load = at->second.load[upstream];
   const uint32_t taken = std::min(load.free_tasks, tasks);
   load.free_tasks -= taken;
+  load.free_not_slow = std::min(load.free_not_slow, load.free_tasks);
+  load.free_fast = std::min(load.free_fast, load.free_tasks);
   for (uint32_t& queued : load.queued_within) {
     queued += tasks - taken;
   }
@@ -244,6 +246,22 @@
   return true;
 }
 
+/// Describes the tasks of a job for their spread.
+spread_request SpreadRequest(uint32_t tasks, microseconds slack,
+                             microseconds chain, double wanted) {
+  spread_request request{.tasks = tasks, .slack = slack};
+  if (wanted < 1) {
+    request.not_fast_cost =
+        std::chrono::duration_cast<microseconds>(chain * (1 - kFastBelow));
+  }
+  if (wanted < kSlowAbove) {
+    request.slow_cost =
+        std::chrono::duration_cast<microseconds>(chain * (kSlowAbove - 1)) +
+        request.not_fast_cost;
+  }
+  return request;
+}
+
 /// Splits a job into parts by the spread over controllers.
 std::vector<job_part> MakeParts(
     const std::vector<spread_candidate>& candidates) {
@@ -333,7 +351,10 @@
     Refuse(state, arrival, result_code::kNotRunNoInstance, microseconds{0});
     return;
   }
-  const microseconds wait = SpreadTasks(candidates, tasks, slack);
+  const microseconds wait =
+      SpreadTasks(candidates,
+                  SpreadRequest(tasks, slack, chain,
+                                WantedSlowness(chain, allowed, patience)));
   if (wait > slack) {
     Refuse(state, arrival, result_code::kNotRunOverloaded, wait);
     return;
--- a/packages/fleet/src/placement_cmd.cc
+++ b/packages/fleet/src/placement_cmd.cc
@@ -28,9 +28,12 @@
          Fits(step.need, one.listing.room);
 }
 
-/// A task is tight when its expected time is more than this share of the time
-/// left to its objective.
-constexpr double kTightShare = 0.5;
+/// Declared times are off by 40%: one task in 40 takes longer than this many
+/// times the time that is expected from them and from the queue's mean.
+constexpr double kLongRun = 1.75;
+/// The objective grows with the real running time; this is for the wait and
+/// the uneven times of a job's tasks.
+constexpr double kObjectiveReserve = 1.15;
 /// Workers whose smoothed running times differ by less count as equally fast.
 constexpr double kSpeedStep = 0.15;
 /// A worker that takes this many times the expected time is avoided; sound
@@ -42,20 +45,46 @@
   bool went_wrong = false;
   bool far = false;
   bool very_slow = false;
-  /// Tight tasks want fast workers; the others leave those to them.
+  /// Of the workers that are fast enough the slowest is best, so that faster
+  /// ones stay free for tasks that need them; of the others the fastest.
+  bool too_slow = false;
   int speed = 0;
   uint32_t room_left = std::numeric_limits<uint32_t>::max();
 
   auto operator<=>(const placement_cost&) const = default;
 };
 
-int SpeedCost(const worker& one, bool tight) {
-  const int steps = static_cast<int>(std::lround(one.slowness / kSpeedStep));
-  return tight ? steps : -steps;
+/// Workers of about the same speed are told apart by their room only.
+int SpeedStep(double slowness) {
+  return static_cast<int>(std::lround(slowness / kSpeedStep));
+}
+
+/// Gives the slowness up to which a worker can do a task in time. When none
+/// can, or none is known to be faster, every worker will do.
+double SlowestThatHelps(const engine& state, const part& owner,
+                        milliseconds expected, instant now) {
+  const double left =
+      std::chrono::duration<double, std::milli>(owner.deadline - now).count();
+  const double slowest = left / static_cast<double>(expected.count());
+  const bool some_help = std::any_of(
+      state.workers.begin(), state.workers.end(), [slowest](const auto& entry) {
+        return entry.second.phase == control_phase::kHeld &&
+               entry.second.slowness <= slowest;
+      });
+  return some_help ? slowest : std::numeric_limits<double>::max();
 }
 
 }  // namespace
 
+double WantedSlowness(std::chrono::microseconds expected,
+                      std::chrono::microseconds objective_left,
+                      std::chrono::microseconds deadline_left) {
+  const auto took = static_cast<double>(std::max<int64_t>(1, expected.count()));
+  return std::min(
+      static_cast<double>(objective_left.count()) / (took * kObjectiveReserve),
+      static_cast<double>(deadline_left.count()) / (took * kLongRun));
+}
+
 resources FreeRoom(const worker& one) { return one.listing.room - one.used; }
 
 bool TakesStarts(const engine& state, const worker& one, instant now) {
@@ -77,15 +106,16 @@
 worker* ChooseWorker(engine& state, const part& owner, const task& placed,
                      instant now) {
   const step_spec& step = owner.job.steps[placed.step];
-  const std::chrono::duration<double, std::milli> left = owner.objective - now;
   const milliseconds expected =
       ExpectedRuntime(state.runtimes, owner.queue, step.estimate);
-  const bool tight =
-      static_cast<double>(expected.count()) > kTightShare * left.count();
+  const double wanted =
+      WantedSlowness(expected, owner.objective - now, owner.deadline - now);
+  const double slowest = SlowestThatHelps(state, owner, expected, now);
   worker* best = nullptr;
   placement_cost best_cost;
   for (auto& [id, one] : state.workers) {
-    if (!Suits(one, owner, step) || !TakesStarts(state, one, now)) {
+    if (!Suits(one, owner, step) || !TakesStarts(state, one, now) ||
+        one.slowness > slowest) {
       continue;
     }
     const resources room = FreeRoom(one);
@@ -100,7 +130,9 @@
         .went_wrong = id == placed.avoid,
         .far = !step.near_rack.empty() && !HasLabel(one, step.near_rack),
         .very_slow = one.slowness > kVerySlow,
-        .speed = SpeedCost(one, tight),
+        .too_slow = one.slowness > wanted,
+        .speed = one.slowness > wanted ? SpeedStep(one.slowness)
+                                       : -SpeedStep(one.slowness),
         .room_left = room.cpu_milli - step.need.cpu_milli};
     if (best == nullptr || cost < best_cost) {
       best = &one;
@@ -129,9 +161,13 @@
     }
     load_report& report = table[one.listing.upstream];
     ++report.workers;
-    report.free_tasks +=
-        std::min(FreeRoom(one).cpu_milli / size,
-                 one.health.strikes < state.options.most_strikes ? 1'000U : 1U);
+    const uint32_t free =
+        one.health.strikes < state.options.most_strikes
+            ? FreeRoom(one).cpu_milli / size
+            : std::min(FreeRoom(one).cpu_milli / size, 1U);
+    report.free_tasks += free;
+    report.free_not_slow += one.slowness <= kSlowAbove ? free : 0;
+    report.free_fast += one.slowness < kFastBelow ? free : 0;
     for (const auto& [name, run] : one.runs) {
       report.ends_per_second +=
           1'000.0 / static_cast<double>(
--- a/packages/fleet/src/spread_cmd.cc
+++ b/packages/fleet/src/spread_cmd.cc
@@ -20,6 +20,16 @@
   return load.queued_within.back();
 }
 
+/// Time that the speed of the worker for the last of `tasks` adds.
+microseconds SpeedCost(const load_report& load, uint32_t tasks,
+                       const spread_request& request) {
+  if (tasks <= load.free_fast) {
+    return microseconds{0};
+  }
+  return tasks <= load.free_not_slow ? request.not_fast_cost
+                                     : request.slow_cost;
+}
+
 }  // namespace
 
 microseconds PredictWait(const load_report& load, uint32_t tasks,
@@ -38,16 +48,17 @@
 }
 
 microseconds SpreadTasks(std::vector<spread_candidate>& candidates,
-                         uint32_t tasks, microseconds slack) {
+                         const spread_request& request) {
   // Each further controller costs messages; it must shorten the wait by this.
   constexpr microseconds kFurtherController = std::chrono::milliseconds(2);
   microseconds longest{0};
-  for (uint32_t placed = 0; placed < tasks; ++placed) {
+  for (uint32_t placed = 0; placed < request.tasks; ++placed) {
     spread_candidate* best = nullptr;
     microseconds best_cost{0};
     for (spread_candidate& one : candidates) {
       microseconds cost =
-          PredictWait(one.load, one.given + 1, slack) + one.penalty;
+          PredictWait(one.load, one.given + 1, request.slack) + one.penalty +
+          SpeedCost(one.load, one.given + 1, request);
       if (one.given == 0 && placed > 0) {
         cost += kFurtherController;
       }
@@ -60,7 +71,8 @@
       return kHopeless;
     }
     ++best->given;
-    longest = std::max(longest, PredictWait(best->load, best->given, slack));
+    longest = std::max(longest,
+                       PredictWait(best->load, best->given, request.slack));
   }
   return longest;
 }
--- a/packages/link/src/fleet_codec.cc
+++ b/packages/link/src/fleet_codec.cc
@@ -15,6 +15,8 @@
                 wire::FleetLoad& to) {
   to.set_upstream(upstream);
   to.set_free_tasks(from.free_tasks);
+  to.set_free_not_slow(from.free_not_slow);
+  to.set_free_fast(from.free_fast);
   for (const uint32_t queued : from.queued_within) {
     to.add_queued_within(queued);
   }
@@ -24,6 +26,8 @@
 
 fleet::load_report DecodeLoad(const wire::FleetLoad& from) {
   fleet::load_report load{.free_tasks = from.free_tasks(),
+                          .free_not_slow = from.free_not_slow(),
+                          .free_fast = from.free_fast(),
                           .ends_per_second = from.ends_per_second(),
                           .workers = from.workers()};
   const auto known = std::min<size_t>(
