--- a/packages/daemon/src/log_limiter.h
+++ b/packages/daemon/src/log_limiter.h
@@ -30,8 +30,9 @@
   uint64_t Dropped() const { return dropped_; }
 
  private:
-  // Some lines a job at the users' rate for one entry, with room for bursts.
-  static constexpr double kLinesPerSecond = 200;
+  // 20 jobs a second at one entry, and 80 tasks at its workers, write 200 lines
+  // a second; the rest is for bursts.
+  static constexpr double kLinesPerSecond = 500;
   static constexpr double kBurst = 1'000;
 
   double tokens_ = kBurst;
--- a/packages/fleet/include/tarragondrift/fleet/placement_cmd.h
+++ b/packages/fleet/include/tarragondrift/fleet/placement_cmd.h
@@ -15,9 +15,8 @@
 inline constexpr double kFastBelow = 0.9;
 inline constexpr double kSlowAbove = 1.12;
 
-/// Gives the slowness that a worker may have to do a task in time, whose real
-/// running time may be well above the expected one.
-double WantedSlowness(std::chrono::microseconds expected,
+/// Gives the slowness that a worker may have to do a task in time.
+double WantedSlowness(const runtime_guess& guess,
                       std::chrono::microseconds objective_left,
                       std::chrono::microseconds deadline_left);
 
--- a/packages/fleet/src/caller_cmd.cc
+++ b/packages/fleet/src/caller_cmd.cc
@@ -351,10 +351,12 @@
     Refuse(state, arrival, result_code::kNotRunNoInstance, microseconds{0});
     return;
   }
+  const runtime_guess guess = GuessRuntime(
+      state.runtimes, arrival.queue, arrival.spec.steps.front().estimate);
   const microseconds wait =
       SpreadTasks(candidates,
                   SpreadRequest(tasks, slack, chain,
-                                WantedSlowness(chain, allowed, patience)));
+                                WantedSlowness(guess, allowed, patience)));
   if (wait > slack) {
     Refuse(state, arrival, result_code::kNotRunOverloaded, wait);
     return;
--- a/packages/fleet/src/placement_cmd.cc
+++ b/packages/fleet/src/placement_cmd.cc
@@ -28,9 +28,6 @@
          Fits(step.need, one.listing.room);
 }
 
-/// Declared times are off by 40%: one task in 40 takes longer than this many
-/// times the time that is expected from them and from the queue's mean.
-constexpr double kLongRun = 1.75;
 /// The objective grows with the real running time; this is for the wait and
 /// the uneven times of a job's tasks.
 constexpr double kObjectiveReserve = 1.15;
@@ -76,13 +73,14 @@
 
 }  // namespace
 
-double WantedSlowness(std::chrono::microseconds expected,
+double WantedSlowness(const runtime_guess& guess,
                       std::chrono::microseconds objective_left,
                       std::chrono::microseconds deadline_left) {
-  const auto took = static_cast<double>(std::max<int64_t>(1, expected.count()));
-  return std::min(
-      static_cast<double>(objective_left.count()) / (took * kObjectiveReserve),
-      static_cast<double>(deadline_left.count()) / (took * kLongRun));
+  const std::chrono::duration<double, std::micro> median = guess.median;
+  const std::chrono::duration<double, std::micro> longest = guess.longest;
+  // The objective grows with the real running time, the deadline does not.
+  return std::min(objective_left / (median * kObjectiveReserve),
+                  deadline_left / longest);
 }
 
 resources FreeRoom(const worker& one) { return one.listing.room - one.used; }
@@ -106,11 +104,11 @@
 worker* ChooseWorker(engine& state, const part& owner, const task& placed,
                      instant now) {
   const step_spec& step = owner.job.steps[placed.step];
-  const milliseconds expected =
-      ExpectedRuntime(state.runtimes, owner.queue, step.estimate);
+  const runtime_guess guess =
+      GuessRuntime(state.runtimes, owner.queue, step.estimate);
   const double wanted =
-      WantedSlowness(expected, owner.objective - now, owner.deadline - now);
-  const double slowest = SlowestThatHelps(state, owner, expected, now);
+      WantedSlowness(guess, owner.objective - now, owner.deadline - now);
+  const double slowest = SlowestThatHelps(state, owner, guess.median, now);
   worker* best = nullptr;
   placement_cost best_cost;
   for (auto& [id, one] : state.workers) {
