Runs too slow for their deadline move to faster workers, or end at once

Cause: contracts that ended 504 ran at once and were too long: workers' told progress stood at 48 to 93% after 1.5 s. Declared times hardly show it. Change: progress is judged with each reply to a hold; a run that will be too late begins anew on a free worker that is fast enough, and where none can be any more the job is given up and answered at once.

--- a/packages/fleet/include/tarragondrift/fleet/part_cmd.h
+++ b/packages/fleet/include/tarragondrift/fleet/part_cmd.h
@@ -31,6 +31,11 @@
 /// Starts queued tasks wherever they fit.
 void Dispatch(engine& state, instant now);
 
+/// Looks at the progress that a worker told of its runs: those that will be too
+/// late there begin anew on a faster worker while it still helps, and a job
+/// that no worker can finish in time any more is given up at once.
+void JudgeProgress(engine& state, worker& at, instant now);
+
 /// Refuses and ends what has run out of time.
 void ExpireParts(engine& state, instant now);
 
--- a/packages/fleet/src/part_cmd.cc
+++ b/packages/fleet/src/part_cmd.cc
@@ -20,6 +20,10 @@
 
 /// An answer up to this many times the objective still has some worth.
 constexpr int kLateFactor = 3;
+/// Progress below this is too coarse to judge by.
+constexpr uint32_t kLeastPercent = 4;
+/// Slowness of the users' fastest workers, with a reserve for what is learned.
+constexpr double kFastestSlowness = 0.75;
 /// Weight of one task in the mean size of tasks.
 constexpr double kSizeWeight = 0.05;
 
@@ -124,6 +128,31 @@
   }
 }
 
+/// Logs the runs that a part leaves behind.
+void NoteRunsLeft(engine& state, const part& owner, instant now) {
+  for (const task& one : owner.tasks) {
+    const auto at = state.workers.find(one.worker);
+    if (one.phase != task_phase::kPlaced || at == state.workers.end()) {
+      continue;
+    }
+    const auto run = at->second.runs.find(
+        {.task = {.job = owner.job.id, .step = one.step, .index = one.index},
+         .run = one.run});
+    if (run == at->second.runs.end()) {
+      continue;
+    }
+    note_line line("run_left");
+    line.With("job", owner.job.id)
+        .With("index", static_cast<int64_t>(one.index))
+        .With("worker", one.worker)
+        .With("percent", static_cast<int64_t>(run->second.percent))
+        .With("ran_ms", std::chrono::floor<milliseconds>(now - run->second.ordered)
+                            .count())
+        .With("expected_ms", run->second.expected.count());
+    Note(state, line);
+  }
+}
+
 /// Ends a part with word to its home.
 void EndPart(engine& state, part_id id, result_code code, instant now) {
   const part& owner = state.parts.Get(id);
@@ -138,6 +167,7 @@
       .With("age_ms",
             std::chrono::floor<milliseconds>(now - owner.arrived).count());
   Note(state, line);
+  NoteRunsLeft(state, owner, now);
   RemovePart(state, id, now);
 }
 
@@ -286,6 +316,42 @@
   }
 }
 
+/// Gives the least time that a run takes in all, by the progress told last; a
+/// percentage is rounded.
+std::chrono::duration<double, std::micro> LeastTotal(const task_run& run,
+                                                     instant now) {
+  constexpr double kPercent = 100;
+  return std::chrono::duration<double, std::micro>(now - run.ordered) *
+         (kPercent / (run.percent + 1.0));
+}
+
+/// Tells whether a worker that is fast enough has room for a task.
+bool FasterIsFree(const engine& state, const worker& than, const part& owner,
+                  const task& one, double wanted, instant now) {
+  return std::any_of(
+      state.workers.begin(), state.workers.end(), [&](const auto& entry) {
+        const worker& other = entry.second;
+        return other.slowness <= wanted && other.slowness < than.slowness &&
+               other.listing.upstream == owner.upstream &&
+               TakesStarts(state, other, now) &&
+               Fits(owner.job.steps[one.step].need, FreeRoom(other));
+      });
+}
+
+void NoteLateRun(engine& state, const worker& at, const run_name& name,
+                 const task_run& run, const char* outcome, instant now) {
+  note_line line("run_too_slow");
+  line.With("job", name.task.job)
+      .With("index", static_cast<int64_t>(name.task.index))
+      .With("worker", at.listing.id)
+      .With("percent", static_cast<int64_t>(run.percent))
+      .With("ran_ms",
+            std::chrono::floor<milliseconds>(now - run.ordered).count())
+      .With("expected_ms", run.expected.count())
+      .With("outcome", outcome);
+  Note(state, line);
+}
+
 /// Takes a run off its worker.
 /// @return the run; its owner may be gone.
 std::optional<task_run> TakeRun(engine& state, worker& at,
@@ -432,6 +498,42 @@
   }
 }
 
+void JudgeProgress(engine& state, worker& at, instant now) {
+  std::vector<run_name> late;
+  for (const auto& [name, run] : at.runs) {
+    const part* const owner = state.parts.Find(run.owner);
+    if (owner != nullptr && run.phase == run_phase::kRunning &&
+        run.percent >= kLeastPercent &&
+        run.ordered + LeastTotal(run, now) > owner->deadline) {
+      late.push_back(name);
+    }
+  }
+  for (const run_name& name : late) {
+    // Giving up one part may have taken others with it.
+    const auto found = at.runs.find(name);
+    part* const owner = found == at.runs.end()
+                            ? nullptr
+                            : state.parts.Find(found->second.owner);
+    if (owner == nullptr) {
+      continue;
+    }
+    const task_run& run = found->second;
+    const auto work = LeastTotal(run, now) / at.slowness;
+    const double wanted =
+        std::chrono::duration<double, std::micro>(owner->deadline - now -
+                                                  state.options.stop_time) /
+        work;
+    if (FasterIsFree(state, at, *owner, owner->tasks[run.task], wanted, now)) {
+      NoteLateRun(state, at, name, run, "moves", now);
+      owner->tasks[run.task].avoid = at.listing.id;
+      OrderStop(state, at, name, now);
+    } else if (wanted < kFastestSlowness) {
+      NoteLateRun(state, at, name, run, "given_up", now);
+      EndPart(state, run.owner, result_code::kDeadlineExceeded, now);
+    }
+  }
+}
+
 void ExpireParts(engine& state, instant now) {
   std::vector<std::pair<part_id, result_code>> over;
   state.parts.ForEach([&](part_id id, const part& one) {
--- a/packages/fleet/src/worker_cmd.cc
+++ b/packages/fleet/src/worker_cmd.cc
@@ -580,6 +580,7 @@
   ReadClock(one, clock_ms, now);
   TakeEnds(state, one, reply, now);
   TakeRunning(state, one, reply, now);
+  JudgeProgress(state, one, now);
   if (one.phase == control_phase::kAcquiring) {
     ContinueAcquiring(state, one, reply, now);
   }
