--- a/packages/daemon/src/fleet_process.cc
+++ b/packages/daemon/src/fleet_process.cc
@@ -486,7 +486,7 @@
             }
           } else if constexpr (std::is_same_v<kind, fleet::caller_answer>) {
             Execute(order, now);
-          } else if constexpr (!std::is_same_v<kind, fleet::row_write>) {
+          } else {
             Execute(order);
           }
         },
--- /dev/null
+++ b/packages/daemon/test/table_follower_test.cc
@@ -0,0 +1,197 @@
+// Following a table: lists, changes, lost history, outages.
+#include "table_follower.h"
+
+#include <catch2/catch.hpp>
+#include <deque>
+#include <map>
+#include <memory>
+
+#include "entry_rows.h"
+
+namespace tarragondrift {
+namespace {
+
+using namespace std::chrono_literals;  // NOLINT: literals only
+using fleet::row_batch;
+using fleet::row_outcome;
+
+/// A store whose replies are given by the test.
+class scripted_rows : public fleet::row_port {
+ public:
+  void Read(const std::string&, const std::string&,
+            std::function<void(fleet::versioned_row)> done) override {
+    done(read);
+  }
+  void List(const std::string&, const std::string& after,
+            std::function<void(row_batch)> done) override {
+    ++lists;
+    last_after = after;
+    done(Next());
+  }
+  void Follow(const std::string&, uint64_t version, std::chrono::milliseconds,
+              std::function<void(row_batch)> done) override {
+    last_version = version;
+    done(Next());
+  }
+  void Write(const fleet::row_update& update,
+             std::function<void(row_outcome)> done) override {
+    writes.push_back(update);
+    done(write);
+  }
+
+  row_batch Next() {
+    if (replies.empty()) {
+      return {};
+    }
+    const row_batch reply = replies.front();
+    replies.pop_front();
+    return reply;
+  }
+
+  std::deque<row_batch> replies;
+  fleet::versioned_row read;
+  row_outcome write = row_outcome::kOk;
+  std::vector<fleet::row_update> writes;
+  int lists = 0;
+  std::string last_after;
+  uint64_t last_version = 0;
+};
+
+struct follower_fixture {
+  follower_fixture() {
+    auto made = std::make_unique<scripted_rows>();
+    script = made.get();
+    rows = std::move(made);
+    follower = std::make_unique<table_follower>(
+        table_follower_options{.table = "t"}, rows,
+        [this](const std::function<void(instant)>& step) { step(now); },
+        [this](const fleet::row_change& change, instant) {
+          if (change.removed) {
+            seen.erase(change.key);
+          } else {
+            seen[change.key] = change.value;
+          }
+        });
+  }
+
+  void Step() {
+    now += 1s;
+    follower->Tick(now);
+  }
+
+  instant now;
+  scripted_rows* script = nullptr;
+  std::unique_ptr<fleet::row_port> rows;
+  std::unique_ptr<table_follower> follower;
+  std::map<std::string, std::string> seen;
+};
+
+TEST_CASE_METHOD(follower_fixture, "pages of a list and changes are told") {
+  script->replies = {
+      {.outcome = row_outcome::kOk,
+       .rows = {{.key = "a", .value = "1"}},
+       .version = 5,
+       .more = true},
+      {.outcome = row_outcome::kOk,
+       .rows = {{.key = "b", .value = "1"}},
+       .version = 7},
+      {.outcome = row_outcome::kOk,
+       .rows = {{.key = "a", .removed = true}, {.key = "b", .value = "2"}},
+       .version = 9}};
+  Step();
+  CHECK_FALSE(follower->Works());
+  Step();
+  CHECK(script->last_after == "a");
+  CHECK(follower->Works());
+  Step();
+  // Changes made while the list was read are not missed.
+  CHECK(script->last_version == 5);
+  CHECK(seen == std::map<std::string, std::string>{{"b", "2"}});
+}
+
+TEST_CASE_METHOD(follower_fixture, "rows that went with the history are told") {
+  script->replies = {{.outcome = row_outcome::kOk,
+                      .rows = {{.key = "a"}, {.key = "b"}},
+                      .version = 5},
+                     {.outcome = row_outcome::kHistoryLost},
+                     {.outcome = row_outcome::kOk,
+                      .rows = {{.key = "b"}},
+                      .version = 50}};
+  Step();
+  Step();
+  Step();
+  CHECK(seen.size() == 1);
+  CHECK(seen.contains("b"));
+}
+
+TEST_CASE_METHOD(follower_fixture, "an outage removes nothing") {
+  script->replies = {{.outcome = row_outcome::kOk,
+                      .rows = {{.key = "a"}},
+                      .version = 5}};
+  Step();
+  Step();
+  CHECK_FALSE(follower->Works());
+  CHECK(seen.contains("a"));
+  script->replies = {{.outcome = row_outcome::kOk, .version = 6}};
+  Step();
+  CHECK(follower->Works());
+  CHECK(seen.contains("a"));
+}
+
+TEST_CASE("an incarnation number is taken once, whatever others do") {
+  instant now;
+  auto made = std::make_unique<scripted_rows>();
+  scripted_rows* const script = made.get();
+  const std::unique_ptr<fleet::row_port> rows = std::move(made);
+  entry_rows own(rows, [&now](const std::function<void(instant)>& step) {
+    step(now);
+  });
+  script->read = {.outcome = row_outcome::kOk, .value = "7", .version = 3};
+  script->write = row_outcome::kConflict;
+  own.Tick(now);
+  CHECK_FALSE(own.Incarnation());
+  script->read = {.outcome = row_outcome::kOk, .value = "8", .version = 4};
+  script->write = row_outcome::kUnknown;
+  now += 1s;
+  own.Tick(now);
+  CHECK_FALSE(own.Incarnation());
+  script->read = {.outcome = row_outcome::kOk, .value = "9", .version = 5};
+  script->write = row_outcome::kOk;
+  now += 1s;
+  own.Tick(now);
+  CHECK(own.Incarnation() == 10);
+  CHECK(script->writes.back().expected == 5);
+}
+
+TEST_CASE("an entry's row is written again when it is not as it should be") {
+  instant now;
+  auto made = std::make_unique<scripted_rows>();
+  scripted_rows* const script = made.get();
+  const std::unique_ptr<fleet::row_port> rows = std::move(made);
+  entry_rows own(rows, [&now](const std::function<void(instant)>& step) {
+    step(now);
+  });
+  script->read = {.outcome = row_outcome::kOk};
+  own.Tick(now);
+  const fleet::entry_identity self{.incarnation = 1,
+                                   .name = "entry1",
+                                   .address = "10.0.0.1:7720",
+                                   .data_centre = "east"};
+  own.Announce(self);
+  own.Tick(now);
+  const std::string text = script->writes.back().value;
+  CHECK(ParseEntryRow("entry1", text) == self);
+  own.RowChanged(text);
+  own.Tick(now);
+  CHECK(script->writes.size() == 2);
+  own.RowChanged("");
+  own.Tick(now);
+  CHECK(script->writes.size() == 3);
+  own.Withdraw();
+  own.Tick(now);
+  CHECK(script->writes.back().remove);
+  CHECK_FALSE(ParseEntryRow("x", "{}"));
+}
+
+}  // namespace
+}  // namespace tarragondrift
--- a/packages/fleet/include/tarragondrift/fleet/engine_base.h
+++ b/packages/fleet/include/tarragondrift/fleet/engine_base.h
@@ -72,11 +72,6 @@
   envelope content;
 };
 
-/// Writes this entry's row, or deletes it when it leaves.
-struct row_write {
-  bool remove = false;
-};
-
 /// A decision for the log: "event=NAME key=value ...".
 struct log_note {
   bool warning = false;
@@ -84,7 +79,7 @@
 };
 
 using action = std::variant<start_order, stop_order, hold_order, caller_answer,
-                            peer_send, row_write, log_note>;
+                            peer_send, log_note>;
 
 enum class job_part_phase : uint8_t { kOffered, kDone, kRefused, kCancelled };
 
--- a/packages/fleet/src/engine_cmd.cc
+++ b/packages/fleet/src/engine_cmd.cc
@@ -49,7 +49,6 @@
   state.leaving = true;
   state.next_beat = now;
   state.next_control = now;
-  state.out.emplace_back(row_write{.remove = true});
   note_line line("leaving");
   line.With("jobs", static_cast<int64_t>(state.jobs.size()))
       .With("parts", static_cast<int64_t>(state.parts.size()));
