Speeds of workers are learned over more runs

Cause: smoothed over 30 runs the learned speeds of sound workers scatter by 8%, so that fast and common ones are mixed up.

--- a/packages/bench/fleet/fleet_sim.cc
+++ b/packages/bench/fleet/fleet_sim.cc
@@ -162,7 +162,7 @@
         [this](const fleet::task_name& name) {
           // A task takes the same time wherever it runs.
           std::mt19937_64 random(std::hash<std::string>()(name.job) +
-                                 name.index * 977 + schedule_.seed);
+                                 uint64_t{977} * name.index + schedule_.seed);
           return microseconds(40'000 + random() % 700'000);
         }));
   }
--- a/packages/bench/fleet/stand_in_worker.cc
+++ b/packages/bench/fleet/stand_in_worker.cc
@@ -133,8 +133,9 @@
   return lists;
 }
 
-void stand_in_worker::Hold(const fleet::hold_order& order,
-                           std::function<void(fleet::hold_reply)> reply) {
+void stand_in_worker::Hold(
+    const fleet::hold_order& order,
+    const std::function<void(const fleet::hold_reply&)>& reply) {
   if (!Obeys(order.fence)) {
     reply({.outcome = hold_outcome::kFenced});
     return;
--- a/packages/bench/fleet/stand_in_worker.h
+++ b/packages/bench/fleet/stand_in_worker.h
@@ -54,7 +54,7 @@
 
   /// Renews leases and answers at once, or when a run ends or the wait is over.
   void Hold(const fleet::hold_order& order,
-            std::function<void(fleet::hold_reply)> reply);
+            const std::function<void(const fleet::hold_reply&)>& reply);
 
   /// Ends everything and forgets it; the next life begins at once or later.
   void Crash();
--- a/packages/fleet/include/tarragondrift/fleet/worker_base.h
+++ b/packages/fleet/include/tarragondrift/fleet/worker_base.h
@@ -111,8 +111,11 @@
   worker_health health;
   /// Gets no start before this time, since it said that it is full or refused.
   instant full_until;
-  /// Running times here relative to the expected ones, smoothed.
+  /// Running times here relative to the expected ones.
   double slowness = 1.0;
+  /// The logarithm of that, smoothed over many runs and over the last few.
+  double log_slowness = 0;
+  double log_recent = 0;
   uint32_t samples = 0;
 };
 
--- a/packages/fleet/src/part_cmd.cc
+++ b/packages/fleet/src/part_cmd.cc
@@ -1,6 +1,7 @@
 #include "tarragondrift/fleet/part_cmd.h"
 
 #include <algorithm>
+#include <cmath>
 #include <functional>
 #include <optional>
 #include <utility>
@@ -20,6 +21,9 @@
 
 /// An answer up to this many times the objective still has some worth.
 constexpr int kLateFactor = 3;
+/// Logarithm of the recent slowness from which a worker counts as turned slow;
+/// sound workers stay within 0.22 but for chance.
+constexpr double kTurnedSlow = 0.8;
 /// Progress below this is too coarse to judge by.
 constexpr uint32_t kLeastPercent = 4;
 /// Slowness of the users' fastest workers, with a reserve for what is learned.
@@ -259,22 +263,33 @@
   Note(state, line, true);
 }
 
+/// Learns a worker's speed from a run that did its task.
+void RecordSpeed(worker& at, const task_run& run,
+                 std::chrono::microseconds took) {
+  // Running times spread by 40%; 100 of them tell speeds 0.8 and 1 apart.
+  constexpr double kSteadyWeight = 0.01;
+  // A few in a row show a worker that turned slow.
+  constexpr double kRecentWeight = 0.15;
+  const double relative = std::log(
+      std::chrono::duration<double, std::milli>(took).count() /
+      static_cast<double>(std::max<int64_t>(1, run.expected.count())));
+  ++at.samples;
+  at.log_slowness += std::max(kSteadyWeight, 1.0 / (at.samples + 1.0)) *
+                     (relative - at.log_slowness);
+  at.log_recent += kRecentWeight * (relative - at.log_recent);
+  at.slowness = std::exp(at.log_recent > kTurnedSlow ? at.log_recent
+                                                     : at.log_slowness);
+}
+
 /// Takes note of a run that did its task.
 void TaskDone(engine& state, worker& at, const task_run& run, part& owner,
               task& one, instant now) {
-  // Running times spread by 40%: some 30 of them tell speeds 0.8 and 1 apart.
-  constexpr double kSlownessWeight = 0.03;
   at.health.strikes = 0;
   at.health.ejection = milliseconds{0};
   const auto took = now - run.ordered;
   RecordRuntime(state.runtimes, owner.queue, owner.job.steps[one.step].estimate,
                 took);
-  const double relative =
-      std::chrono::duration<double, std::milli>(took).count() /
-      static_cast<double>(std::max<int64_t>(1, run.expected.count()));
-  ++at.samples;
-  at.slowness += std::max(kSlownessWeight, 1.0 / (at.samples + 1.0)) *
-                 (relative - at.slowness);
+  RecordSpeed(at, run, took);
   one.phase = task_phase::kDone;
   --owner.left;
 }
--- a/packages/fleet/src/worker_cmd.cc
+++ b/packages/fleet/src/worker_cmd.cc
@@ -296,6 +296,8 @@
   one.fence_misses = 0;
   one.highest_fence = one.fence;
   one.slowness = 1.0;
+  one.log_slowness = 0;
+  one.log_recent = 0;
   one.samples = 0;
   SetPhase(state, one, control_phase::kHeld, "worker_held", "acquired");
   state.dispatch_due = true;
