A moved run goes by the running time that its progress showed

Cause: a run that was moved for being too long was placed by the guess of before, so that some moved two or three times between common workers.

--- a/packages/fleet/include/tarragondrift/fleet/placement_cmd.h
+++ b/packages/fleet/include/tarragondrift/fleet/placement_cmd.h
@@ -20,6 +20,11 @@
                       std::chrono::microseconds objective_left,
                       std::chrono::microseconds deadline_left);
 
+/// Guesses the running time of a part's tasks, by their progress where that is
+/// known.
+runtime_guess GuessOf(const engine& state, const part& owner,
+                      const step_spec& step);
+
 /// Tells whether a worker that is held takes new runs now.
 bool TakesStarts(const engine& state, const worker& one, instant now);
 
--- a/packages/fleet/src/part_cmd.cc
+++ b/packages/fleet/src/part_cmd.cc
@@ -533,6 +533,10 @@
     }
     const task_run& run = found->second;
     const auto work = LeastTotal(run, now) / at.slowness;
+    if (owner->job.steps.size() == 1) {
+      owner->revealed = std::max(
+          owner->revealed, std::chrono::duration_cast<milliseconds>(work));
+    }
     const double wanted = std::chrono::duration<double, std::micro>(
                               owner->deadline - now - state.options.stop_time) /
                           work;
--- a/packages/fleet/src/placement_cmd.cc
+++ b/packages/fleet/src/placement_cmd.cc
@@ -83,6 +83,14 @@
                   deadline_left / longest);
 }
 
+runtime_guess GuessOf(const engine& state, const part& owner,
+                      const step_spec& step) {
+  if (owner.revealed.count() > 0) {
+    return {.median = owner.revealed, .longest = owner.revealed};
+  }
+  return GuessRuntime(state.runtimes, owner.queue, step.estimate);
+}
+
 resources FreeRoom(const worker& one) { return one.listing.room - one.used; }
 
 bool TakesStarts(const engine& state, const worker& one, instant now) {
@@ -104,8 +112,7 @@
 worker* ChooseWorker(engine& state, const part& owner, const task& placed,
                      instant now) {
   const step_spec& step = owner.job.steps[placed.step];
-  const runtime_guess guess =
-      GuessRuntime(state.runtimes, owner.queue, step.estimate);
+  const runtime_guess guess = GuessOf(state, owner, step);
   const double wanted =
       WantedSlowness(guess, owner.objective - now, owner.deadline - now);
   const double slowest = SlowestThatHelps(state, owner, guess.median, now);
--- a/packages/fleet/src/worker_cmd.cc
+++ b/packages/fleet/src/worker_cmd.cc
@@ -9,7 +9,7 @@
 #include "tarragondrift/fleet/ownership_cmd.h"
 #include "tarragondrift/fleet/part_cmd.h"
 #include "tarragondrift/fleet/peer_cmd.h"
-#include "tarragondrift/fleet/runtime_base.h"
+#include "tarragondrift/fleet/placement_cmd.h"
 
 namespace tarragondrift::fleet {
 namespace {
