A cut's healing no longer lets entries take each other's workers

Change: an attempt without an answer is given up; later the worker is first probed with a fence that changes nothing, and once reached it is taken only when no controller's beat has come for 1.3 s. Test first: control_test.cc.

--- a/packages/daemon/test/table_follower_test.cc
+++ b/packages/daemon/test/table_follower_test.cc
@@ -110,13 +110,12 @@
 }
 
 TEST_CASE_METHOD(follower_fixture, "rows that went with the history are told") {
-  script->replies = {{.outcome = row_outcome::kOk,
-                      .rows = {{.key = "a"}, {.key = "b"}},
-                      .version = 5},
-                     {.outcome = row_outcome::kHistoryLost},
-                     {.outcome = row_outcome::kOk,
-                      .rows = {{.key = "b"}},
-                      .version = 50}};
+  script->replies = {
+      {.outcome = row_outcome::kOk,
+       .rows = {{.key = "a"}, {.key = "b"}},
+       .version = 5},
+      {.outcome = row_outcome::kHistoryLost},
+      {.outcome = row_outcome::kOk, .rows = {{.key = "b"}}, .version = 50}};
   Step();
   Step();
   Step();
@@ -125,9 +124,8 @@
 }
 
 TEST_CASE_METHOD(follower_fixture, "an outage removes nothing") {
-  script->replies = {{.outcome = row_outcome::kOk,
-                      .rows = {{.key = "a"}},
-                      .version = 5}};
+  script->replies = {
+      {.outcome = row_outcome::kOk, .rows = {{.key = "a"}}, .version = 5}};
   Step();
   Step();
   CHECK_FALSE(follower->Works());
@@ -143,9 +141,8 @@
   auto made = std::make_unique<scripted_rows>();
   scripted_rows* const script = made.get();
   const std::unique_ptr<fleet::row_port> rows = std::move(made);
-  entry_rows own(rows, [&now](const std::function<void(instant)>& step) {
-    step(now);
-  });
+  entry_rows own(
+      rows, [&now](const std::function<void(instant)>& step) { step(now); });
   script->read = {.outcome = row_outcome::kOk, .value = "7", .version = 3};
   script->write = row_outcome::kConflict;
   own.Tick(now);
@@ -168,9 +165,8 @@
   auto made = std::make_unique<scripted_rows>();
   scripted_rows* const script = made.get();
   const std::unique_ptr<fleet::row_port> rows = std::move(made);
-  entry_rows own(rows, [&now](const std::function<void(instant)>& step) {
-    step(now);
-  });
+  entry_rows own(
+      rows, [&now](const std::function<void(instant)>& step) { step(now); });
   script->read = {.outcome = row_outcome::kOk};
   own.Tick(now);
   const fleet::entry_identity self{.incarnation = 1,
--- a/packages/fleet/include/tarragondrift/fleet/fleet_options_base.h
+++ b/packages/fleet/include/tarragondrift/fleet/fleet_options_base.h
@@ -32,6 +32,11 @@
   milliseconds full_pause{30};
   /// Pause between attempts to get control of a worker.
   milliseconds acquire_pause{200};
+  /// Pause after an attempt to acquire a worker that was not answered.
+  milliseconds unanswered_pause{1'000};
+  /// Time in which beats come back once a cut heals: a delivery that hangs, the
+  /// pause before the next connection, and a beat's interval.
+  milliseconds heal_wait{1'300};
   /// A worker that vanished from the list and stays away is gone.
   milliseconds unlisted_limit{2'000};
 
--- a/packages/fleet/include/tarragondrift/fleet/worker_base.h
+++ b/packages/fleet/include/tarragondrift/fleet/worker_base.h
@@ -32,6 +32,9 @@
 /// Who controls a worker, as this entry sees it.
 enum class control_phase : uint8_t {
   kNotOurs,
+  /// It did not answer before and is asked, without a claim, whether it is
+  /// reached.
+  kProbing,
   /// Our fence was sent; what runs there is being ended first.
   kAcquiring,
   kHeld,
@@ -89,6 +92,8 @@
   uint64_t highest_fence = 0;
   /// Attempts to acquire it that met a higher fence, in a row.
   uint32_t fence_misses = 0;
+  /// The last attempt to acquire it was not answered.
+  bool doubtful = false;
   /// No attempt to acquire it before this time.
   instant retry;
 
--- a/packages/fleet/src/engine_cmd.cc
+++ b/packages/fleet/src/engine_cmd.cc
@@ -59,7 +59,8 @@
   return state.leaving && state.jobs.empty() && state.parts.size() == 0 &&
          std::none_of(state.workers.begin(), state.workers.end(),
                       [](const auto& entry) {
-                        return entry.second.phase != control_phase::kNotOurs;
+                        return entry.second.phase != control_phase::kNotOurs &&
+                               entry.second.phase != control_phase::kProbing;
                       });
 }
 
--- a/packages/fleet/src/part_cmd.cc
+++ b/packages/fleet/src/part_cmd.cc
@@ -270,15 +270,15 @@
   constexpr double kSteadyWeight = 0.01;
   // A few in a row show a worker that turned slow.
   constexpr double kRecentWeight = 0.15;
-  const double relative = std::log(
-      std::chrono::duration<double, std::milli>(took).count() /
-      static_cast<double>(std::max<int64_t>(1, run.expected.count())));
+  const double relative =
+      std::log(std::chrono::duration<double, std::milli>(took).count() /
+               static_cast<double>(std::max<int64_t>(1, run.expected.count())));
   ++at.samples;
   at.log_slowness += std::max(kSteadyWeight, 1.0 / (at.samples + 1.0)) *
                      (relative - at.log_slowness);
   at.log_recent += kRecentWeight * (relative - at.log_recent);
-  at.slowness = std::exp(at.log_recent > kTurnedSlow ? at.log_recent
-                                                     : at.log_slowness);
+  at.slowness =
+      std::exp(at.log_recent > kTurnedSlow ? at.log_recent : at.log_slowness);
 }
 
 /// Takes note of a run that did its task.
--- a/packages/fleet/src/worker_cmd.cc
+++ b/packages/fleet/src/worker_cmd.cc
@@ -85,7 +85,8 @@
                    .fence = one.fence,
                    .last_seen = one.last_seen,
                    .wait = wait};
-  if (one.phase != control_phase::kAcquiring && GivesLease(state, one, now)) {
+  if (one.phase != control_phase::kAcquiring &&
+      one.phase != control_phase::kProbing && GivesLease(state, one, now)) {
     order.lease_until_ms = ExtendLease(state, one, now);
   }
   one.hold_in_flight = true;
@@ -143,7 +144,14 @@
   one.hold_in_flight = false;
   ++one.hold_number;
   one.health = {};
-  EndAllRuns(state, one, now);
+  // A run that was ordered since the birth may be there: each is settled.
+  std::vector<run_name> names;
+  for (const auto& [name, run] : one.runs) {
+    names.push_back(name);
+  }
+  for (const run_name& name : names) {
+    OrderStop(state, one, name, now);
+  }
   if (one.phase == control_phase::kHeld) {
     one.phase = control_phase::kAcquiring;
   }
@@ -185,6 +193,26 @@
   return found;
 }
 
+/// Asks whether a worker can be reached, with a fence that changes nothing.
+void Probe(engine& state, worker& one, instant now) {
+  one.phase = control_phase::kProbing;
+  one.fence = 0;
+  one.last_seen = 0;
+  SendHold(state, one, milliseconds{0}, now);
+}
+
+/// A worker that is reached again may have a controller behind a cut that has
+/// just healed: its beats are waited for.
+void EndProbe(engine& state, worker& one, bool reached, instant now) {
+  one.phase = control_phase::kNotOurs;
+  one.doubtful = !reached;
+  one.retry = now + (reached ? state.options.heal_wait
+                             : state.options.unanswered_pause);
+  note_line line("worker_probed");
+  line.With("worker", one.listing.id).With("reached", reached ? "yes" : "no");
+  Note(state, line);
+}
+
 void Acquire(engine& state, worker& one, instant now) {
   one.fence = NextFence(state, one);
   one.clock_ms = 0;
@@ -201,9 +229,15 @@
     case control_phase::kNotOurs:
       if (ours && one.listed && now >= one.retry && now >= one.dead_by &&
           !ClaimedByPeer(state, one.listing.id)) {
-        Acquire(state, one, now);
+        if (one.doubtful) {
+          Probe(state, one, now);
+        } else {
+          Acquire(state, one, now);
+        }
       }
       return;
+    case control_phase::kProbing:
+      return;
     case control_phase::kAcquiring:
       if (!ours) {
         LoseWorker(state, one, "assigned_elsewhere", now);
@@ -565,8 +599,18 @@
   }
   worker& one = at->second;
   one.hold_in_flight = false;
+  if (one.phase == control_phase::kProbing) {
+    EndProbe(state, one, reply.outcome != hold_outcome::kUnknown, now);
+    return;
+  }
   if (reply.outcome == hold_outcome::kUnknown) {
-    one.retry = now + state.options.full_pause;
+    if (one.phase == control_phase::kAcquiring) {
+      LoseWorker(state, one, "unanswered", now);
+      one.doubtful = true;
+      one.retry = now + state.options.unanswered_pause;
+    } else {
+      one.retry = now + state.options.full_pause;
+    }
     return;
   }
   if (Unfit(state, one, reply.outcome == hold_outcome::kFenced,
@@ -629,7 +673,8 @@
       Note(state, line, true);
       EndAllRuns(state, one, now);
     }
-    if (one.phase != control_phase::kNotOurs) {
+    if (one.phase != control_phase::kNotOurs &&
+        one.phase != control_phase::kProbing) {
       SettleStops(state, one, now);
       StopStalledRuns(state, one, now);
       if (!one.hold_in_flight && now >= one.retry) {
--- /dev/null
+++ b/packages/fleet/test/control_test.cc
@@ -0,0 +1,199 @@
+// Control of workers: who takes which, and what a cut does to it.
+#include <catch2/catch.hpp>
+#include <memory>
+#include <variant>
+
+#include "tarragondrift/fleet/caller_cmd.h"
+#include "tarragondrift/fleet/engine_cmd.h"
+#include "tarragondrift/fleet/peer_cmd.h"
+#include "tarragondrift/fleet/worker_cmd.h"
+
+namespace tarragondrift::fleet {
+namespace {
+
+using namespace std::chrono_literals;  // NOLINT: literals only
+
+constexpr uint64_t kSelf = 1;
+constexpr uint64_t kPeer = 2;
+
+/// One entry, its peer and a worker in the peer's data centre.
+struct control_fixture {
+  control_fixture() {
+    state = MakeEngine({},
+                       {.incarnation = kSelf,
+                        .name = "self",
+                        .address = "10.0.0.1:1",
+                        .data_centre = "east"},
+                       now);
+    ApplyConfig(state,
+                std::make_shared<const fleet_config>(
+                    fleet_config{.version = 1,
+                                 .queues = {{.name = "q",
+                                             .host = "h",
+                                             .path_prefix = "/q/",
+                                             .upstream = "plata",
+                                             .attempts = 2,
+                                             .stretch = 1.6,
+                                             .objective = 100ms,
+                                             .timeout = 1'500ms}}}),
+                "", now);
+    ListWorker(state, listing, now);
+  }
+
+  /// Runs ticks for a while and counts the holds that were sent.
+  void Pass(std::chrono::milliseconds span) {
+    for (const instant end = now + span; now < end; now += 20ms) {
+      Tick(state, now);
+      Settle(state, now);
+      Collect();
+    }
+  }
+
+  void Collect() {
+    for (const action& one : TakeActions(state)) {
+      if (const auto* hold = std::get_if<hold_order>(&one)) {
+        ++holds;
+        last_hold = *hold;
+      } else if (const auto* start = std::get_if<start_order>(&one)) {
+        starts.push_back(*start);
+      } else if (const auto* answer = std::get_if<caller_answer>(&one)) {
+        answers.push_back(*answer);
+      } else if (const auto* send = std::get_if<peer_send>(&one)) {
+        OnDelivery(state, send->content.to, delivery::kDelivered, now);
+      }
+    }
+  }
+
+  /// The peer tells that it is there, and whether it controls the worker.
+  void HearPeer(bool claims) {
+    beat told{.from = {.incarnation = kPeer,
+                       .name = "peer",
+                       .address = "10.0.0.2:1",
+                       .data_centre = "west"}};
+    if (claims) {
+      told.claims.push_back({.worker = "w", .fence = 4'098});
+    }
+    OnEnvelope(state,
+               {.from = kPeer, .to = kSelf, .stream = 1, .messages = {told}},
+               now);
+  }
+
+  void AnswerHold(const hold_reply& reply) {
+    OnHoldReply(state, "w", last_hold.number, reply, 1'000, now);
+    Collect();
+  }
+
+  engine state;
+  instant now{10s};
+  worker_listing listing{.id = "w",
+                         .address = "10.1.0.1:80",
+                         .upstream = "plata",
+                         .data_centre = "west",
+                         .room = {.cpu_milli = 16'000},
+                         .born = 1};
+  int holds = 0;
+  hold_order last_hold;
+  std::vector<start_order> starts;
+  std::vector<caller_answer> answers;
+};
+
+TEST_CASE_METHOD(control_fixture, "a worker that a live entry claims is left") {
+  HearPeer(true);
+  Pass(500ms);
+  HearPeer(true);
+  Pass(800ms);
+  HearPeer(true);
+  Pass(500ms);
+  CHECK(holds == 0);
+}
+
+TEST_CASE_METHOD(control_fixture, "a silent controller's worker is taken") {
+  HearPeer(true);
+  Pass(2'500ms);
+  REQUIRE(holds > 0);
+  // Its fence is above the one that the silent controller used.
+  CHECK(last_hold.fence > 4'098);
+  CHECK_FALSE(last_hold.lease_until_ms);
+}
+
+TEST_CASE_METHOD(control_fixture,
+                 "a worker that does not answer is not fought for") {
+  // Behind a cut both the controller and its workers are silent. An attempt
+  // that waits for the cut to heal would win over the live controller.
+  HearPeer(true);
+  Pass(1'500ms);
+  REQUIRE(holds == 1);
+  AnswerHold({});
+  CHECK(state.workers.at("w").phase == control_phase::kNotOurs);
+  // Reached again, it is only probed, and the controller's beats come first.
+  Pass(1'200ms);
+  REQUIRE(holds == 2);
+  CHECK(last_hold.fence == 0);
+  AnswerHold({.outcome = hold_outcome::kFenced});
+  Pass(1'000ms);
+  for (int beats = 0; beats < 10; ++beats) {
+    HearPeer(true);
+    Pass(250ms);
+  }
+  CHECK(holds == 2);
+}
+
+TEST_CASE_METHOD(control_fixture,
+                 "a worker that is reached again and unclaimed is taken") {
+  HearPeer(true);
+  Pass(1'500ms);
+  AnswerHold({});
+  Pass(1'200ms);
+  AnswerHold({.outcome = hold_outcome::kFenced});
+  Pass(1'500ms);
+  CHECK(holds == 3);
+  CHECK(last_hold.fence > 4'098);
+}
+
+TEST_CASE_METHOD(control_fixture, "nothing starts before others' runs ended") {
+  Pass(1'500ms);
+  REQUIRE(holds == 1);
+  SubmitJob(state,
+            {.request = 7,
+             .queue = "q",
+             .spec = {.id = "j",
+                      .steps = {{.count = 1,
+                                 .need = {.cpu_milli = 1'000},
+                                 .estimate = 100ms}}}},
+            now);
+  AnswerHold({.outcome = hold_outcome::kAnswered,
+              .running = {{.name = {.task = {.job = "old"}, .run = 1}}}});
+  Pass(40ms);
+  CHECK(starts.empty());
+  REQUIRE(answers.size() == 1);
+  CHECK(PromisesNotRun(answers[0].code));
+  AnswerHold({.outcome = hold_outcome::kAnswered});
+  SubmitJob(state,
+            {.request = 8,
+             .queue = "q",
+             .spec = {.id = "k",
+                      .steps = {{.count = 1,
+                                 .need = {.cpu_milli = 1'000},
+                                 .estimate = 100ms}}}},
+            now);
+  Pass(40ms);
+  CHECK(starts.size() == 1);
+}
+
+TEST_CASE_METHOD(control_fixture, "a worker that left the list stays 2 s") {
+  Pass(1'500ms);
+  AnswerHold({.outcome = hold_outcome::kAnswered});
+  UnlistWorker(state, "w", now);
+  Pass(500ms);
+  CHECK(state.workers.contains("w"));
+  ListWorker(state, listing, now);
+  AnswerHold({.outcome = hold_outcome::kAnswered});
+  Pass(400ms);
+  CHECK(state.workers.at("w").phase == control_phase::kHeld);
+  UnlistWorker(state, "w", now);
+  Pass(4'000ms);
+  CHECK_FALSE(state.workers.contains("w"));
+}
+
+}  // namespace
+}  // namespace tarragondrift::fleet
--- a/packages/fleet/test/decisions_test.cc
+++ b/packages/fleet/test/decisions_test.cc
@@ -64,8 +64,7 @@
       {.controller = 1, .load = Load(8, 0, 10)},
       {.controller = 2, .load = Load(8, 0, 10), .penalty = 4ms}};
   candidates[0].load.free_fast = 0;
-  SpreadTasks(candidates,
-              {.tasks = 4, .slack = 100ms, .not_fast_cost = 90ms});
+  SpreadTasks(candidates, {.tasks = 4, .slack = 100ms, .not_fast_cost = 90ms});
   CHECK(candidates[1].given == 4);
 }
 
