--- a/packages/daemon/src/fleet_process.cc
+++ b/packages/daemon/src/fleet_process.cc
@@ -143,7 +143,7 @@
   metrics_page_ = std::move(metrics_page).value();
   auto callers = held_http_server::Start(
       {.address = settings_.callers, .extra_header = platform::kPatienceHeader},
-      [this](held_request request) { OnRequest(std::move(request)); });
+      [this](const held_request& request) { OnRequest(request); });
   if (!callers) {
     return fails("callers", settings_.callers);
   }
@@ -332,7 +332,7 @@
          (joined_.load() == 0 || fleet::HasLeft(engine_));
 }
 
-void fleet_process::OnRequest(held_request request) {
+void fleet_process::OnRequest(const held_request& request) {
   const uint64_t number = request.number;
   const auto refuse = [this, number](result_code code) {
     callers_->Respond(
@@ -361,7 +361,7 @@
       if (refusing_.load()) {
         refuse(result_code::kNotRunDraining);
       } else {
-        OnSubmit(std::move(request), *queue, std::move(id));
+        OnSubmit(request, *queue, std::move(id));
       }
       return;
     case platform::request_kind::kPending:
@@ -388,7 +388,7 @@
   }
 }
 
-void fleet_process::OnSubmit(held_request request,
+void fleet_process::OnSubmit(const held_request& request,
                              const fleet::queue_config& queue, std::string id) {
   const uint64_t number = request.number;
   result<fleet::job_spec> job = platform::ParseJob(std::move(id), request.body);
@@ -572,7 +572,7 @@
       .With("callers", settings.value().callers)
       .With("store", settings.value().store);
   // It ends with the process.
-  std::thread([&process, signals] {
+  std::thread watcher([&process, signals] {
     int number = 0;
     while (sigwait(&signals, &number) == 0) {
       if (number == SIGHUP) {
@@ -581,9 +581,10 @@
         process.BeginStop();
       }
     }
-  }).detach();
+  });
+  watcher.detach();
   process.Wait();
-  log_event(log_level::kInfo, "stopped");
+  LogLine(log_level::kInfo, "event=stopped");
   std::this_thread::sleep_for(kLastBytes);
   // Threads of libraries may still call back: nothing is torn down.
   std::_Exit(0);
--- a/packages/daemon/src/fleet_process.h
+++ b/packages/daemon/src/fleet_process.h
@@ -66,8 +66,8 @@
   void ApplySettings(const std::string& cause);
   bool StopIsOver(instant now);
 
-  void OnRequest(held_request request);
-  void OnSubmit(held_request request, const fleet::queue_config& queue,
+  void OnRequest(const held_request& request);
+  void OnSubmit(const held_request& request, const fleet::queue_config& queue,
                 std::string id);
   void OnConfigRow(const fleet::row_change& row, instant now);
   void OnConfigText(const std::string& text, const char* source, instant now);
--- a/packages/daemon/test/table_follower_test.cc
+++ b/packages/daemon/test/table_follower_test.cc
@@ -43,7 +43,7 @@
     if (replies.empty()) {
       return {};
     }
-    const row_batch reply = replies.front();
+    row_batch reply = replies.front();
     replies.pop_front();
     return reply;
   }
