Tests of the fleet's link and of held requests; one copy of shared plumbing

The entry process is split into its life (fleet_process) and what comes in and goes out (fleet_process_io); channel settings and curl handles stand once.

--- a/packages/daemon/src/fleet_process.cc
+++ b/packages/daemon/src/fleet_process.cc
@@ -7,7 +7,6 @@
 #include <fstream>
 #include <iterator>
 #include <utility>
-#include <variant>
 
 #include "clock.h"
 #include "logging.h"
@@ -18,7 +17,6 @@
 #include "platform/store_calls.h"
 #include "tarragondrift/fleet/caller_cmd.h"
 #include "tarragondrift/fleet/peer_cmd.h"
-#include "tarragondrift/fleet/worker_cmd.h"
 
 namespace tarragondrift {
 namespace {
@@ -48,9 +46,6 @@
 constexpr milliseconds kWorkerBatchPause{500};
 /// Entries rarely come and go, and tell each other directly when they do.
 constexpr milliseconds kEntryWait{4'000};
-/// Callers of an entry that can't take their job come back after this.
-constexpr milliseconds kRetrySoon{1'000};
-
 constexpr int kExitUsage = 2;
 constexpr int kExitFailure = 1;
 
@@ -59,13 +54,6 @@
   return {std::istreambuf_iterator<char>(file), {}};
 }
 
-server_response ToResponse(platform::caller_reply reply,
-                           milliseconds retry_after) {
-  return {.status = reply.status,
-          .body = std::move(reply.body),
-          .retry_after = retry_after};
-}
-
 fleet::fleet_options MakeOptions(const platform::boot_settings& settings) {
   fleet::fleet_options options;
   // Below the longest lease, so that rounding never shortens it.
@@ -332,217 +320,6 @@
          (joined_.load() == 0 || fleet::HasLeft(engine_));
 }
 
-void fleet_process::OnRequest(const held_request& request) {
-  const uint64_t number = request.number;
-  const auto refuse = [this, number](result_code code) {
-    callers_->Respond(
-        number,
-        ToResponse(platform::SubmissionReply(code),
-                   PromisesNotRun(code) ? kRetrySoon : milliseconds{0}));
-  };
-  const std::shared_ptr<const fleet::fleet_config> config = config_.load();
-  if (config == nullptr || joined_.load() == 0) {
-    refuse(result_code::kNotRunNoConfig);
-    return;
-  }
-  const fleet::queue_config* const queue =
-      fleet::FindQueue(*config, request.host, request.path);
-  if (queue == nullptr) {
-    callers_->Respond(number, ToResponse(platform::NoQueueReply(), {}));
-    return;
-  }
-  if (request.too_large || request.body.size() > config->most_body_bytes) {
-    refuse(result_code::kRequestTooLarge);
-    return;
-  }
-  std::string id = request.path.substr(queue->path_prefix.size());
-  switch (platform::KindOf(request.method, id)) {
-    case platform::request_kind::kSubmit:
-      if (refusing_.load()) {
-        refuse(result_code::kNotRunDraining);
-      } else {
-        OnSubmit(request, *queue, std::move(id));
-      }
-      return;
-    case platform::request_kind::kPending:
-      // Jobs are not stored; those that wait do so for less than a second.
-      callers_->Respond(number, ToResponse(platform::PendingReply(0), {}));
-      return;
-    case platform::request_kind::kState:
-      Post([this, number, id](instant) {
-        callers_->Respond(
-            number,
-            ToResponse(platform::StateReply(engine_.job_by_id.contains(id)),
-                       {}));
-      });
-      return;
-    case platform::request_kind::kCancel:
-      Post([this, number, id](instant now) {
-        const bool known = fleet::CancelJob(engine_, id, now);
-        callers_->Respond(number, ToResponse(platform::CancelReply(known), {}));
-      });
-      return;
-    case platform::request_kind::kUnknown:
-      callers_->Respond(number, ToResponse(platform::NoQueueReply(), {}));
-      return;
-  }
-}
-
-void fleet_process::OnSubmit(const held_request& request,
-                             const fleet::queue_config& queue, std::string id) {
-  const uint64_t number = request.number;
-  result<fleet::job_spec> job = platform::ParseJob(std::move(id), request.body);
-  if (!job) {
-    callers_->Respond(number,
-                      ToResponse(platform::SubmissionReply(job.error()), {}));
-    return;
-  }
-  fleet::job_arrival arrival{.request = number,
-                             .queue = queue.name,
-                             .spec = std::move(job).value(),
-                             .patience = milliseconds(std::strtoul(
-                                 request.extra.c_str(), nullptr, 10))};
-  Post([this, arrival = std::move(arrival)](instant now) {
-    if (callers_->HasLeft(arrival.request)) {
-      // It may have sent the job again elsewhere while this entry stood still.
-      callers_->Respond(arrival.request, {.status = 503, .body = "{}"});
-      return;
-    }
-    arrivals_[arrival.request] = now;
-    fleet::SubmitJob(engine_, arrival, now);
-  });
-}
-
-void fleet_process::OnConfigRow(const fleet::row_change& row, instant now) {
-  if (row.key == platform::kConfigKey && !row.removed) {
-    OnConfigText(row.value, "store", now);
-  }
-}
-
-void fleet_process::OnConfigText(const std::string& text, const char* source,
-                                 instant now) {
-  const auto parsed = platform::ParseOperatorConfig(text);
-  if (!parsed) {
-    log_event(log_level::kWarning, "config_unreadable").With("source", source);
-    return;
-  }
-  auto fresh = std::make_shared<const fleet::fleet_config>(parsed.value());
-  if (fleet::ApplyConfig(engine_, fresh, text, now)) {
-    config_.store(std::move(fresh));
-  }
-}
-
-void fleet_process::OnWorkerRow(const fleet::row_change& row, instant now) {
-  if (row.removed) {
-    fleet::UnlistWorker(engine_, row.key, now);
-    return;
-  }
-  const auto parsed = platform::ParseRunner(row.key, row.value);
-  if (!parsed) {
-    log_event(log_level::kWarning, "worker_row_unreadable")
-        .With("worker", row.key);
-    fleet::UnlistWorker(engine_, row.key, now);
-    return;
-  }
-  fleet::ListWorker(engine_, parsed.value(), now);
-}
-
-void fleet_process::OnEntryRow(const fleet::row_change& row, instant now) {
-  if (row.key == settings_.instance) {
-    own_rows_->RowChanged(row.value);
-    return;
-  }
-  if (row.removed) {
-    fleet::DropPeerRow(engine_, row.key, now);
-  } else if (const auto identity = ParseEntryRow(row.key, row.value)) {
-    fleet::FindPeer(engine_, *identity, now);
-  }
-}
-
-bool fleet_process::OnPeerEnvelope(fleet::envelope received) {
-  if (received.to != joined_.load()) {
-    return false;
-  }
-  Post([this, received = std::move(received)](instant now) {
-    for (const fleet::peer_message& message : received.messages) {
-      if (const auto* news = std::get_if<fleet::config_news>(&message)) {
-        OnConfigText(news->text, "peer", now);
-      }
-    }
-    fleet::OnEnvelope(engine_, received, now);
-  });
-  return true;
-}
-
-void fleet_process::Execute(instant now) {
-  for (const fleet::action& one : fleet::TakeActions(engine_)) {
-    std::visit(
-        [this, now](const auto& order) {
-          using kind = std::decay_t<decltype(order)>;
-          if constexpr (std::is_same_v<kind, fleet::log_note>) {
-            if (limiter_.Take(now)) {
-              LogLine(order.warning ? log_level::kWarning : log_level::kInfo,
-                      order.line);
-            }
-          } else if constexpr (std::is_same_v<kind, fleet::caller_answer>) {
-            Execute(order, now);
-          } else {
-            Execute(order);
-          }
-        },
-        one);
-  }
-}
-
-void fleet_process::Execute(const fleet::start_order& order) {
-  workers_->Start(order, [this, id = order.target.id, name = order.name](
-                             fleet::start_outcome outcome, int64_t clock_ms) {
-    Post([=, this](instant now) {
-      fleet::OnStartReply(engine_, id, name, outcome, clock_ms, now);
-    });
-  });
-}
-
-void fleet_process::Execute(const fleet::stop_order& order) {
-  workers_->Stop(order, [this, id = order.target.id, name = order.name](
-                            fleet::stop_outcome outcome, int64_t clock_ms) {
-    Post([=, this](instant now) {
-      fleet::OnStopReply(engine_, id, name, outcome, clock_ms, now);
-    });
-  });
-}
-
-void fleet_process::Execute(const fleet::hold_order& order) {
-  workers_->Hold(order, [this, id = order.target.id, number = order.number](
-                            const fleet::hold_reply& reply, int64_t clock_ms) {
-    Post([=, this](instant now) {
-      fleet::OnHoldReply(engine_, id, number, reply, clock_ms, now);
-    });
-  });
-}
-
-void fleet_process::Execute(const fleet::caller_answer& answer, instant now) {
-  const auto arrived = arrivals_.find(answer.request);
-  if (arrived != arrivals_.end()) {
-    metrics_.CountAnswer(answer.code, now - arrived->second);
-    arrivals_.erase(arrived);
-  }
-  const bool come_back = PromisesNotRun(answer.code);
-  callers_->Respond(
-      answer.request,
-      ToResponse(platform::SubmissionReply(answer.code),
-                 come_back ? answer.retry_after : milliseconds{0}));
-}
-
-void fleet_process::Execute(const fleet::peer_send& message) {
-  link_->Deliver(message.address, message.content,
-                 [this, to = message.content.to](fleet::delivery outcome) {
-                   Post([=, this](instant now) {
-                     fleet::OnDelivery(engine_, to, outcome, now);
-                   });
-                 });
-}
-
 int ServeFleet(uint16_t metrics_port) {
   const char* const path = std::getenv(platform::kSettingsVariable);
   if (path == nullptr) {
--- /dev/null
+++ b/packages/link/src/channel_arguments.cc
@@ -0,0 +1,20 @@
+#include "channel_arguments.h"
+
+#include <grpc/grpc.h>
+
+namespace tarragondrift {
+
+grpc::ChannelArguments MakeChannelArguments(
+    std::chrono::milliseconds longest_reconnect) {
+  grpc::ChannelArguments arguments;
+  const auto shortest = static_cast<int>(kShortestReconnect.count());
+  arguments.SetInt(GRPC_ARG_INITIAL_RECONNECT_BACKOFF_MS, shortest);
+  arguments.SetInt(GRPC_ARG_MIN_RECONNECT_BACKOFF_MS, shortest);
+  arguments.SetInt(GRPC_ARG_MAX_RECONNECT_BACKOFF_MS,
+                   static_cast<int>(longest_reconnect.count()));
+  arguments.SetInt(GRPC_ARG_ENABLE_RETRIES, 0);
+  arguments.SetInt(GRPC_ARG_ENABLE_HTTP_PROXY, 0);
+  return arguments;
+}
+
+}  // namespace tarragondrift
--- a/packages/link/src/fleet_link.cc
+++ b/packages/link/src/fleet_link.cc
@@ -8,6 +8,7 @@
 #include <unordered_map>
 #include <utility>
 
+#include "channel_arguments.h"
 #include "fleet.grpc.pb.h"
 #include "fleet_codec.h"
 
@@ -16,10 +17,9 @@
 
 /// Time for calls under way when the link stops.
 constexpr std::chrono::milliseconds kStopGrace{200};
-/// Pauses before a lost connection is tried again; a restarted entry should be
-/// reached well within a beat or two.
-constexpr int kShortestReconnectMilliseconds = 100;
-constexpr int kLongestReconnectMilliseconds = 400;
+/// Longest pause before a lost connection is tried again; a restarted entry
+/// should be reached within a beat or two.
+constexpr std::chrono::milliseconds kLongestReconnect{400};
 
 class fleet_service : public wire::FleetPeer::CallbackService {
  public:
@@ -125,15 +125,8 @@
     retired_.clear();
     std::shared_ptr<wire::FleetPeer::Stub>& stub = stubs_[address];
     if (stub == nullptr) {
-      grpc::ChannelArguments arguments;
-      arguments.SetInt(GRPC_ARG_INITIAL_RECONNECT_BACKOFF_MS,
-                       kShortestReconnectMilliseconds);
-      arguments.SetInt(GRPC_ARG_MIN_RECONNECT_BACKOFF_MS,
-                       kShortestReconnectMilliseconds);
-      arguments.SetInt(GRPC_ARG_MAX_RECONNECT_BACKOFF_MS,
-                       kLongestReconnectMilliseconds);
-      arguments.SetInt(GRPC_ARG_ENABLE_RETRIES, 0);
-      arguments.SetInt(GRPC_ARG_ENABLE_HTTP_PROXY, 0);
+      grpc::ChannelArguments arguments =
+          MakeChannelArguments(kLongestReconnect);
       // Connections are not shared with an earlier channel to the address.
       arguments.SetInt(GRPC_ARG_USE_LOCAL_SUBCHANNEL_POOL, 1);
       stub = wire::FleetPeer::NewStub(grpc::CreateCustomChannel(
--- a/packages/link/src/peer_client.cc
+++ b/packages/link/src/peer_client.cc
@@ -9,6 +9,7 @@
 #include <unordered_map>
 #include <utility>
 
+#include "channel_arguments.h"
 #include "peer.grpc.pb.h"
 #include "peer_codec.h"
 
@@ -19,10 +20,8 @@
 
 /// Bytes of one message.
 constexpr int kMostMessageBytes = 64 << 20;
-/// Shortest pause before a lost connection is tried again.
-constexpr int kShortestReconnectMilliseconds = 100;
 /// Longest pause before a lost connection is tried again.
-constexpr int kLongestReconnectMilliseconds = 1'000;
+constexpr milliseconds kLongestReconnect{1'000};
 
 /// Runs a function when it is destroyed.
 class at_end {
@@ -214,17 +213,9 @@
     const std::scoped_lock lock(mutex_);
     std::unique_ptr<wire::Peer::Stub>& stub = stubs_[address];
     if (stub == nullptr) {
-      grpc::ChannelArguments arguments;
+      grpc::ChannelArguments arguments =
+          MakeChannelArguments(kLongestReconnect);
       arguments.SetMaxReceiveMessageSize(kMostMessageBytes);
-      arguments.SetInt(GRPC_ARG_INITIAL_RECONNECT_BACKOFF_MS,
-                       kShortestReconnectMilliseconds);
-      arguments.SetInt(GRPC_ARG_MIN_RECONNECT_BACKOFF_MS,
-                       kShortestReconnectMilliseconds);
-      arguments.SetInt(GRPC_ARG_MAX_RECONNECT_BACKOFF_MS,
-                       kLongestReconnectMilliseconds);
-      // A call is never sent twice by the library.
-      arguments.SetInt(GRPC_ARG_ENABLE_RETRIES, 0);
-      arguments.SetInt(GRPC_ARG_ENABLE_HTTP_PROXY, 0);
       stub = wire::Peer::NewStub(grpc::CreateCustomChannel(
           address, grpc::InsecureChannelCredentials(), arguments));
     }
--- /dev/null
+++ b/packages/link/test/fleet_link_test.cc
@@ -0,0 +1,117 @@
+// Two ends of the fleet's link over loopback.
+#include "tarragondrift/link/fleet_link.h"
+
+#include <catch2/catch.hpp>
+#include <future>
+#include <string>
+#include <variant>
+
+namespace tarragondrift {
+namespace {
+
+using namespace std::chrono_literals;  // NOLINT: literals only
+
+constexpr const char* kAddress = "127.0.0.1:27431";
+
+fleet::envelope WholeEnvelope() {
+  fleet::envelope sent{.from = 1, .to = 2, .stream = 3, .heard_stream = 4};
+  fleet::load_report load{.free_tasks = 5,
+                          .free_not_slow = 4,
+                          .free_fast = 3,
+                          .ends_per_second = 2.5,
+                          .workers = 6};
+  load.queued_within = {1, 2, 3, 4, 5, 6, 7};
+  sent.load["plata"] = load;
+  sent.messages = {
+      fleet::beat{.from = {.incarnation = 1,
+                           .name = "entry",
+                           .address = "a",
+                           .data_centre = "east"},
+                  .leaving = true,
+                  .config_version = 9,
+                  .claims = {{.worker = "w", .fence = 8}}},
+      fleet::part_offer{.ref = {.job = 7, .part = 1},
+                        .queue = "q",
+                        .upstream = "plata",
+                        .priority = 2,
+                        .attempts = 3,
+                        .job = {.id = "j",
+                                .payload = std::string("\0x", 2),
+                                .steps = {{.count = 2,
+                                           .need = {.cpu_milli = 10},
+                                           .estimate = 20ms,
+                                           .after = {0},
+                                           .near_rack = "r",
+                                           .label = "l",
+                                           .most_per_worker = 1}}},
+                        .first = 4,
+                        .count = 2,
+                        .objective_left = 100ms,
+                        .deadline_left = -5ms},
+      fleet::part_cancel{.ref = {.job = 7, .part = 1}},
+      fleet::part_result{.ref = {.job = 7, .part = 1},
+                         .code = result_code::kNotRunOverloaded,
+                         .started = true,
+                         .retry_after = 1s},
+      fleet::job_cancel{.job = "j"},
+      fleet::config_news{.version = 9, .text = "{}"}};
+  return sent;
+}
+
+fleet::delivery Deliver(fleet_link& link, const std::string& address,
+                        const fleet::envelope& content) {
+  std::promise<fleet::delivery> ended;
+  link.Deliver(address, content,
+               [&ended](fleet::delivery outcome) { ended.set_value(outcome); });
+  return ended.get_future().get();
+}
+
+TEST_CASE("every kind of message arrives as it was sent") {
+  fleet::envelope seen;
+  auto link = fleet_link::Start({.address = kAddress},
+                                [&seen](fleet::envelope received) {
+                                  seen = std::move(received);
+                                  return true;
+                                });
+  REQUIRE(link);
+  const fleet::envelope sent = WholeEnvelope();
+  REQUIRE(Deliver(*link.value(), kAddress, sent) ==
+          fleet::delivery::kDelivered);
+  CHECK(seen.from == 1);
+  CHECK(seen.to == 2);
+  CHECK(seen.stream == 3);
+  CHECK(seen.heard_stream == 4);
+  CHECK(seen.load["plata"].free_fast == 3);
+  CHECK(seen.load["plata"].queued_within[6] == 7);
+  REQUIRE(seen.messages.size() == sent.messages.size());
+  const auto& told = std::get<fleet::beat>(seen.messages[0]);
+  CHECK(told.leaving);
+  CHECK(told.claims[0].fence == 8);
+  const auto& offer = std::get<fleet::part_offer>(seen.messages[1]);
+  CHECK(offer.job.payload == std::string("\0x", 2));
+  CHECK(offer.job.steps[0].after == std::vector<uint32_t>{0});
+  CHECK(offer.job.steps[0].near_rack == "r");
+  CHECK(offer.first == 4);
+  CHECK(offer.deadline_left == -5ms);
+  const auto& result = std::get<fleet::part_result>(seen.messages[3]);
+  CHECK(result.code == result_code::kNotRunOverloaded);
+  CHECK(result.started);
+  CHECK(std::get<fleet::config_news>(seen.messages[5]).text == "{}");
+}
+
+TEST_CASE("a process that it was not meant for says so") {
+  auto link = fleet_link::Start({.address = kAddress},
+                                [](const fleet::envelope&) { return false; });
+  REQUIRE(link);
+  CHECK(Deliver(*link.value(), kAddress, {}) == fleet::delivery::kOtherProcess);
+}
+
+TEST_CASE("a delivery to nobody is lost") {
+  auto link = fleet_link::Start({.address = kAddress},
+                                [](const fleet::envelope&) { return true; });
+  REQUIRE(link);
+  CHECK(Deliver(*link.value(), "127.0.0.1:1", {}) == fleet::delivery::kLost);
+}
+
+}  // namespace
+}  // namespace tarragondrift
--- a/packages/ports/src/http_client.cc
+++ b/packages/ports/src/http_client.cc
@@ -7,19 +7,11 @@
 #include <mutex>
 #include <utility>
 
+#include "tarragondrift/ports/transfer_loop.h"
+
 namespace tarragondrift {
 namespace {
 
-struct easy_deleter {
-  void operator()(CURL* easy) const { curl_easy_cleanup(easy); }
-};
-using easy_handle = std::unique_ptr<CURL, easy_deleter>;
-
-struct list_deleter {
-  void operator()(curl_slist* list) const { curl_slist_free_all(list); }
-};
-using header_list = std::unique_ptr<curl_slist, list_deleter>;
-
 /// What the callbacks of one exchange work on.
 struct exchange_state {
   const std::string* request_body = nullptr;
@@ -64,16 +56,9 @@
   static_cast<void>(initialised);
 }
 
-/// Adds one line to a list of headers.
-void AppendHeader(header_list& list, const std::string& line) {
-  curl_slist* const grown = curl_slist_append(list.get(), line.c_str());
-  static_cast<void>(list.release());
-  list.reset(grown);
-}
-
 /// Makes the header list of a request.
-header_list MakeHeaders(const http_request& request) {
-  header_list list;
+slist_ptr MakeHeaders(const http_request& request) {
+  slist_ptr list;
   // A body is sent at once, without asking the server first.
   AppendHeader(list, "Expect:");
   for (const http_header& header : request.headers) {
@@ -161,21 +146,21 @@
 struct http_client::pool {
   http_client_options options;
   std::mutex mutex;
-  std::vector<easy_handle> idle;
+  std::vector<easy_ptr> idle;
 
   /// Takes a handle out, the one used last first: its connection is freshest.
-  easy_handle Take() {
+  easy_ptr Take() {
     const std::lock_guard lock(mutex);
     if (idle.empty()) {
-      return easy_handle(curl_easy_init());
+      return easy_ptr(curl_easy_init());
     }
-    easy_handle handle = std::move(idle.back());
+    easy_ptr handle = std::move(idle.back());
     idle.pop_back();
     return handle;
   }
 
   /// Puts a handle back, or closes it when enough are kept.
-  void PutBack(easy_handle handle) {
+  void PutBack(easy_ptr handle) {
     const std::lock_guard lock(mutex);
     if (idle.size() < options.most_idle) {
       idle.push_back(std::move(handle));
@@ -192,13 +177,13 @@
 http_client::~http_client() = default;
 
 http_reply http_client::Send(const http_request& request) {
-  easy_handle handle = pool_->Take();
+  easy_ptr handle = pool_->Take();
   CURL* const easy = handle.get();
   // A reset keeps the connections of the handle.
   curl_easy_reset(easy);
   exchange_state state{.request_body = &request.body,
                        .most_reply_bytes = pool_->options.most_reply_bytes};
-  const header_list headers = MakeHeaders(request);
+  const slist_ptr headers = MakeHeaders(request);
   curl_easy_setopt(easy, CURLOPT_URL, request.url.c_str());
   curl_easy_setopt(easy, CURLOPT_HTTPHEADER, headers.get());
   SetMethod(easy, request);
