--- a/packages/fleet/src/worker_cmd.cc
+++ b/packages/fleet/src/worker_cmd.cc
@@ -321,8 +321,7 @@
 }
 
 /// Finishes the takeover of a worker once nothing of others runs there.
-void ContinueAcquiring(engine& state, worker& one, const hold_reply& reply,
-                       instant now) {
+void ContinueAcquiring(engine& state, worker& one, const hold_reply& reply) {
   if (!reply.running.empty()) {
     return;
   }
@@ -335,7 +334,6 @@
   one.samples = 0;
   SetPhase(state, one, control_phase::kHeld, "worker_held", "acquired");
   state.dispatch_due = true;
-  (void)now;
 }
 
 /// Handles a reply that says that another life or another fence is there.
@@ -626,7 +624,7 @@
   TakeRunning(state, one, reply, now);
   JudgeProgress(state, one, now);
   if (one.phase == control_phase::kAcquiring) {
-    ContinueAcquiring(state, one, reply, now);
+    ContinueAcquiring(state, one, reply);
   }
   if (one.phase != control_phase::kNotOurs) {
     // While others' runs are being stopped the next look comes soon.
