One test for a controlled worker, one list of runs; a count nobody read goes

Found in reading the change: the same pair of phases was compared in three places, the same loop over a worker's runs stood twice, and waiting_jobs_ was stored each tick and never read.

--- a/packages/daemon/src/fleet_process.cc
+++ b/packages/daemon/src/fleet_process.cc
@@ -225,7 +225,6 @@
   }
   fleet_snapshot snapshot = SnapshotOf(engine_);
   snapshot.log_lines_dropped = limiter_.Dropped();
-  waiting_jobs_.store(snapshot.queued_tasks);
   metrics_.Update(snapshot);
 }
 
--- a/packages/daemon/src/fleet_process.h
+++ b/packages/daemon/src/fleet_process.h
@@ -94,7 +94,6 @@
   std::atomic<bool> ready_{false};
   /// Read by the callers' thread without a lock.
   std::atomic<std::shared_ptr<const fleet::fleet_config>> config_;
-  std::atomic<size_t> waiting_jobs_{0};
 
   /// When each waiting request arrived.
   std::unordered_map<uint64_t, instant> arrivals_;
--- a/packages/fleet/include/tarragondrift/fleet/worker_base.h
+++ b/packages/fleet/include/tarragondrift/fleet/worker_base.h
@@ -124,6 +124,12 @@
   uint32_t samples = 0;
 };
 
+/// Tells whether this entry controls a worker, or is about to.
+inline bool IsControlled(const worker& one) {
+  return one.phase != control_phase::kNotOurs &&
+         one.phase != control_phase::kProbing;
+}
+
 /// Replies to a start.
 enum class start_outcome : uint8_t {
   kAccepted,
--- a/packages/fleet/src/engine_cmd.cc
+++ b/packages/fleet/src/engine_cmd.cc
@@ -57,11 +57,9 @@
 
 bool HasLeft(const engine& state) {
   return state.leaving && state.jobs.empty() && state.parts.size() == 0 &&
-         std::none_of(state.workers.begin(), state.workers.end(),
-                      [](const auto& entry) {
-                        return entry.second.phase != control_phase::kNotOurs &&
-                               entry.second.phase != control_phase::kProbing;
-                      });
+         std::none_of(
+             state.workers.begin(), state.workers.end(),
+             [](const auto& entry) { return IsControlled(entry.second); });
 }
 
 bool IsReady(const engine& state) {
--- a/packages/fleet/src/peer_cmd.cc
+++ b/packages/fleet/src/peer_cmd.cc
@@ -16,8 +16,7 @@
             .leaving = state.leaving,
             .config_version = state.config ? state.config->version : 0};
   for (const auto& [id, one] : state.workers) {
-    if (one.phase != control_phase::kNotOurs &&
-        one.phase != control_phase::kProbing) {
+    if (IsControlled(one)) {
       made.claims.push_back({.worker = id, .fence = one.fence});
     }
   }
--- a/packages/fleet/src/worker_cmd.cc
+++ b/packages/fleet/src/worker_cmd.cc
@@ -94,13 +94,18 @@
   state.out.emplace_back(std::move(order));
 }
 
-/// Ends all runs of a worker that surely runs none of them any more.
-void EndAllRuns(engine& state, worker& one, instant now) {
+/// Lists a worker's runs, for loops that change them.
+std::vector<run_name> RunNames(const worker& one) {
   std::vector<run_name> names;
   for (const auto& [name, run] : one.runs) {
     names.push_back(name);
   }
-  for (const run_name& name : names) {
+  return names;
+}
+
+/// Ends all runs of a worker that surely runs none of them any more.
+void EndAllRuns(engine& state, worker& one, instant now) {
+  for (const run_name& name : RunNames(one)) {
     EndRun(state, one, name, run_end::kLapsed, now);
   }
 }
@@ -145,11 +150,7 @@
   ++one.hold_number;
   one.health = {};
   // A run that was ordered since the birth may be there: each is settled.
-  std::vector<run_name> names;
-  for (const auto& [name, run] : one.runs) {
-    names.push_back(name);
-  }
-  for (const run_name& name : names) {
+  for (const run_name& name : RunNames(one)) {
     OrderStop(state, one, name, now);
   }
   if (one.phase == control_phase::kHeld) {
@@ -671,8 +672,7 @@
       Note(state, line, true);
       EndAllRuns(state, one, now);
     }
-    if (one.phase != control_phase::kNotOurs &&
-        one.phase != control_phase::kProbing) {
+    if (IsControlled(one)) {
       SettleStops(state, one, now);
       StopStalledRuns(state, one, now);
       if (!one.hold_in_flight && now >= one.retry) {
