Leases end soon after the last word of a job's home

Cause: a job's home is killed and the controller of its tasks is cut off before it has noticed (0.9 s): leases of 0.9 s given meanwhile outlast the 1.3 s after which the caller sends the job again, and a task runs twice. Ruled out: a shorter silence limit alone (the controller can't stop anything while it is cut off). No lease now reaches beyond the last word of any home that has runs at the worker plus 1.2 s, a stopped run keeps its limit, and a task starts only where the lease that is out already ends by then.

--- a/packages/bench/fleet/fleet_sim.cc
+++ b/packages/bench/fleet/fleet_sim.cc
@@ -224,6 +224,7 @@
   }
   if (schedule_.mutation == fleet_mutation::kKeepSilentHome) {
     options.silence_limit = std::chrono::hours(1);
+    options.orphan_limit = std::chrono::hours(1);
   }
   one.state = fleet::MakeEngine(options,
                                 {.incarnation = one.incarnation,
--- a/packages/bench/fleet/tests.cmake
+++ b/packages/bench/fleet/tests.cmake
@@ -2,6 +2,11 @@
 # purpose, which has to be caught.
 if(BUILD_TESTING)
   add_test(NAME fleet_schedules COMMAND bench_fleet --seeds 1000 --threads 2)
+  # A home was killed and its tasks' controller cut off before it noticed.
+  foreach(seed 2919 8269 9141)
+    add_test(NAME fleet_regression_${seed}
+             COMMAND bench_fleet --seeds 1 --first ${seed})
+  endforeach()
   foreach(mutation no_fence_check no_lease_wait keep_silent_home no_settling
                    ignore_draining)
     add_test(NAME fleet_catches_${mutation}
--- a/packages/fleet/include/tarragondrift/fleet/fleet_options_base.h
+++ b/packages/fleet/include/tarragondrift/fleet/fleet_options_base.h
@@ -62,6 +62,10 @@
   /// An entry that did nothing for this long was stopped by its machine; its
   /// peers may be about to take it for silent. Ticks come every 20 ms.
   milliseconds standstill_limit{500};
+  /// Tasks run on for this long after the last word of their job's home at
+  /// most, also where their controller fails as well: callers send a job again
+  /// 1.3 s after its home died, and that word may have been on its way.
+  milliseconds orphan_limit{1'200};
   /// A peer that was silent for this long is forgotten.
   milliseconds forget_limit{30'000};
   /// After its start an entry listens this long before it takes workers.
--- a/packages/fleet/include/tarragondrift/fleet/peer_base.h
+++ b/packages/fleet/include/tarragondrift/fleet/peer_base.h
@@ -6,6 +6,7 @@
 #include <chrono>
 #include <cstdint>
 #include <map>
+#include <optional>
 #include <string>
 #include <variant>
 #include <vector>
@@ -115,6 +116,12 @@
   uint64_t stream_in = 0;
   uint64_t stream_out = 1;
   bool in_flight = false;
+  /// When the last envelope left.
+  instant sent;
+  /// Since when either side runs something for the other; unset when neither.
+  std::optional<instant> bound;
+  /// It waits for a sign of life, without content if there is none.
+  bool sign_due = false;
   /// The delivery in flight carries more than a beat.
   bool in_flight_matters = false;
   std::vector<peer_message> outbox;
--- a/packages/fleet/include/tarragondrift/fleet/worker_base.h
+++ b/packages/fleet/include/tarragondrift/fleet/worker_base.h
@@ -66,6 +66,8 @@
   instant last_order;
   /// When the worker was first known to run it.
   instant confirmed;
+  /// No lease reaches beyond this, so that it ends before its job runs again.
+  instant lease_limit = instant::max();
   /// Part of the work that is done, as the worker told last.
   uint32_t percent = 0;
 };
--- /dev/null
+++ b/packages/fleet/src/lease_cmd.cc
@@ -0,0 +1,81 @@
+#include "tarragondrift/fleet/lease_cmd.h"
+
+#include <algorithm>
+#include <chrono>
+
+namespace tarragondrift::fleet {
+namespace {
+
+constexpr int64_t kPercent = 100;
+
+/// Tells whether a worker answers; one that stopped gets no leases.
+bool Answers(const engine& state, const worker& one, instant now) {
+  return one.clock_ms > 0 &&
+         now - one.heard <=
+             state.options.hold_wait + 2 * state.options.hold_timeout;
+}
+
+/// Gives the time that a lease may last beyond its span: the estimated clock
+/// may be ahead by the error since it was read.
+milliseconds LeaseReserve(const engine& state, const worker& one, instant now) {
+  const auto span = state.options.lease +
+                    std::chrono::ceil<milliseconds>(now - one.clock_read);
+  return span * static_cast<int64_t>(state.options.clock_error_percent) /
+             kPercent +
+         state.options.lease_margin;
+}
+
+/// Gives the earliest limit of all runs at a worker; they share its lease.
+instant EarliestLimit(engine& state, worker& one, instant now) {
+  instant earliest = instant::max();
+  for (auto& [name, run] : one.runs) {
+    // A run that is stopped for its home keeps the limit that it had.
+    const part* const owner = state.parts.Find(run.owner);
+    if (owner != nullptr) {
+      run.lease_limit = LeaseLimit(state, owner->home, now);
+    }
+    earliest = std::min(earliest, run.lease_limit);
+  }
+  return earliest;
+}
+
+}  // namespace
+
+int64_t ClockOf(const worker& one, instant now) {
+  return one.clock_ms +
+         std::chrono::floor<milliseconds>(now - one.clock_read).count();
+}
+
+instant LeaseLimit(const engine& state, uint64_t home, instant now) {
+  if (home == state.self.incarnation) {
+    return instant::max();
+  }
+  const auto at = state.peers.find(home);
+  return at == state.peers.end()
+             ? now
+             : at->second.heard + state.options.orphan_limit;
+}
+
+bool FitsLease(const engine& state, const worker& one, instant limit,
+               instant now) {
+  return one.dead_by <= limit &&
+         limit - now >= state.options.hold_wait + state.options.hold_timeout;
+}
+
+std::optional<int64_t> ExtendLease(engine& state, worker& one, instant now) {
+  if (!Answers(state, one, now)) {
+    return std::nullopt;
+  }
+  const milliseconds reserve = LeaseReserve(state, one, now);
+  const instant limit = EarliestLimit(state, one, now);
+  if (limit <= now + reserve) {
+    return std::nullopt;
+  }
+  const auto lease =
+      std::min(state.options.lease,
+               std::chrono::floor<milliseconds>(limit - now - reserve));
+  one.dead_by = std::max(one.dead_by, now + lease + reserve);
+  return ClockOf(one, now) + lease.count();
+}
+
+}  // namespace tarragondrift::fleet
--- a/packages/fleet/src/peer_cmd.cc
+++ b/packages/fleet/src/peer_cmd.cc
@@ -1,6 +1,7 @@
 #include "tarragondrift/fleet/peer_cmd.h"
 
 #include <algorithm>
+#include <set>
 #include <utility>
 
 #include "tarragondrift/fleet/caller_cmd.h"
@@ -23,7 +24,8 @@
   return made;
 }
 
-/// Interval of beats, longer where many peers would make them costly.
+/// Interval of beats to peers that nothing is shared with, longer where many
+/// would make them costly.
 milliseconds BeatInterval(const engine& state) {
   const auto peers = static_cast<int64_t>(state.peers.size());
   const auto base = static_cast<int64_t>(state.options.peers_at_beat_interval);
@@ -123,6 +125,50 @@
 
 }  // namespace
 
+namespace {
+
+/// Lists the peers that run something for this entry, or it for them.
+std::set<uint64_t> BoundPeers(const engine& state) {
+  std::set<uint64_t> bound;
+  for (const auto& [number, job] : state.jobs) {
+    for (const job_part& one : job.parts) {
+      if (one.phase == job_part_phase::kOffered) {
+        bound.insert(one.controller);
+      }
+    }
+  }
+  state.parts.ForEach(
+      [&bound](part_id, const part& one) { bound.insert(one.home); });
+  return bound;
+}
+
+/// Keeps count of how long peers have been bound to this entry. Those hear from
+/// it at the base interval: runs of a home that is silent are soon stopped.
+void KeepBoundPeersInformed(engine& state, instant now) {
+  const std::set<uint64_t> bound = BoundPeers(state);
+  for (auto& [incarnation, one] : state.peers) {
+    if (!bound.contains(incarnation)) {
+      one.bound.reset();
+      continue;
+    }
+    if (!one.bound) {
+      one.bound = now;
+    }
+    one.sign_due = now - one.sent >= state.options.beat_interval;
+  }
+}
+
+bool FellSilent(const engine& state, const peer& one, instant now) {
+  const milliseconds limit = state.options.silence_limit;
+  if (one.bound && now - std::max(one.heard, *one.bound) > limit) {
+    return true;
+  }
+  return now - one.heard >
+         limit + 2 * (BeatInterval(state) - state.options.beat_interval);
+}
+
+}  // namespace
+
 bool Usable(const peer& one) { return !one.silent && !one.leaving; }
 
 void BreakAll(engine& state, const char* why, instant now) {
@@ -228,11 +274,9 @@
 }
 
 void TickPeers(engine& state, instant now) {
-  const milliseconds interval = BeatInterval(state);
-  const milliseconds silence = state.options.silence_limit +
-                               2 * (interval - state.options.beat_interval);
+  KeepBoundPeersInformed(state, now);
   for (auto& [incarnation, one] : state.peers) {
-    if (!one.silent && now - one.heard > silence) {
+    if (!one.silent && FellSilent(state, one, now)) {
       FallSilent(state, one, "no_beat", now);
     }
   }
@@ -245,7 +289,7 @@
   if (now < state.next_beat) {
     return;
   }
-  state.next_beat = now + interval;
+  state.next_beat = now + BeatInterval(state);
   for (auto& [incarnation, one] : state.peers) {
     if (one.outbox.empty() || !std::holds_alternative<beat>(one.outbox[0])) {
       one.outbox.insert(one.outbox.begin(), MakeBeat(state));
@@ -266,13 +310,15 @@
   }
   std::optional<load_table> load;
   for (auto& [incarnation, one] : state.peers) {
-    if (one.outbox.empty() || one.in_flight) {
+    if ((one.outbox.empty() && !one.sign_due) || one.in_flight) {
       continue;
     }
     if (!load) {
       load = ReportLoad(state, now);
     }
     one.in_flight = true;
+    one.sent = now;
+    one.sign_due = false;
     one.in_flight_matters = std::any_of(
         one.outbox.begin(), one.outbox.end(), [](const peer_message& message) {
           return !std::holds_alternative<beat>(message);
--- a/packages/fleet/src/placement_cmd.cc
+++ b/packages/fleet/src/placement_cmd.cc
@@ -5,6 +5,8 @@
 #include <cmath>
 #include <limits>
 
+#include "tarragondrift/fleet/lease_cmd.h"
+
 namespace tarragondrift::fleet {
 namespace {
 
@@ -116,11 +118,12 @@
   const double wanted =
       WantedSlowness(guess, owner.objective - now, owner.deadline - now);
   const double slowest = SlowestThatHelps(state, owner, guess.median, now);
+  const instant limit = LeaseLimit(state, owner.home, now);
   worker* best = nullptr;
   placement_cost best_cost;
   for (auto& [id, one] : state.workers) {
     if (!Suits(one, owner, step) || !TakesStarts(state, one, now) ||
-        one.slowness > slowest) {
+        one.slowness > slowest || !FitsLease(state, one, limit, now)) {
       continue;
     }
     const resources room = FreeRoom(one);
--- a/packages/fleet/src/worker_cmd.cc
+++ b/packages/fleet/src/worker_cmd.cc
@@ -6,6 +6,7 @@
 #include <utility>
 
 #include "tarragondrift/fleet/engine_cmd.h"
+#include "tarragondrift/fleet/lease_cmd.h"
 #include "tarragondrift/fleet/ownership_cmd.h"
 #include "tarragondrift/fleet/part_cmd.h"
 #include "tarragondrift/fleet/peer_cmd.h"
@@ -18,7 +19,6 @@
 
 /// Fences of one generation; the incarnation tells them apart.
 constexpr uint64_t kFencesPerGeneration = 4'096;
-constexpr int64_t kPercent = 100;
 /// Doublings of the step by which an unknown higher fence is passed.
 constexpr uint32_t kMostFenceDoublings = 16;
 /// How long a known entry that was never heard may still come up.
@@ -38,27 +38,6 @@
   return {.id = one.listing.id, .address = one.listing.address};
 }
 
-/// Estimates a worker's clock now; it may run slow, so this may be ahead.
-int64_t ClockOf(const worker& one, instant now) {
-  return one.clock_ms +
-         std::chrono::floor<milliseconds>(now - one.clock_read).count();
-}
-
-/// Gives the lease to ask for and takes note of when it is over at the latest.
-int64_t ExtendLease(engine& state, worker& one, instant now) {
-  const milliseconds lease = state.options.lease;
-  // The estimated clock may be ahead by the error since it was read.
-  const auto span =
-      lease + std::chrono::ceil<milliseconds>(now - one.clock_read);
-  const auto longest =
-      lease +
-      span * static_cast<int64_t>(state.options.clock_error_percent) /
-          kPercent +
-      state.options.lease_margin;
-  one.dead_by = std::max(one.dead_by, now + longest);
-  return ClockOf(one, now) + lease.count();
-}
-
 void ReadClock(worker& one, int64_t clock_ms, instant now) {
   one.heard = now;
   if (clock_ms > 0) {
@@ -71,14 +50,6 @@
   return !one.listed && now - one.unlisted >= state.options.unlisted_limit;
 }
 
-/// Tells whether leases are still given: a worker that stopped answering gets
-/// none, so that whatever runs there ends.
-bool GivesLease(const engine& state, const worker& one, instant now) {
-  return one.clock_ms > 0 &&
-         now - one.heard <=
-             state.options.hold_wait + 2 * state.options.hold_timeout;
-}
-
 void SendHold(engine& state, worker& one, milliseconds wait, instant now) {
   hold_order order{.target = TargetOf(one),
                    .number = ++one.hold_number,
@@ -86,7 +57,7 @@
                    .last_seen = one.last_seen,
                    .wait = wait};
   if (one.phase != control_phase::kAcquiring &&
-      one.phase != control_phase::kProbing && GivesLease(state, one, now)) {
+      one.phase != control_phase::kProbing) {
     order.lease_until_ms = ExtendLease(state, one, now);
   }
   one.hold_in_flight = true;
@@ -481,12 +452,12 @@
       .With("age_ms",
             std::chrono::floor<milliseconds>(now - ordered.arrived).count());
   Note(state, line);
-  state.out.emplace_back(
-      start_order{.target = TargetOf(at),
-                  .name = name,
-                  .payload = ordered.job.payload,
-                  .lease_until_ms = ExtendLease(state, at, now),
-                  .fence = at.fence});
+  state.out.emplace_back(start_order{
+      .target = TargetOf(at),
+      .name = name,
+      .payload = ordered.job.payload,
+      .lease_until_ms = ExtendLease(state, at, now).value_or(ClockOf(at, now)),
+      .fence = at.fence});
 }
 
 void OrderStop(engine& state, worker& at, const run_name& name, instant now) {
--- a/packages/fleet/test/control_test.cc
+++ b/packages/fleet/test/control_test.cc
@@ -211,6 +211,53 @@
   CHECK(answers[0].code == result_code::kOk);
 }
 
+// A home was killed and the controller cut off before it noticed: leases given
+// meanwhile outlasted the 1.3 s after which the caller sent its job again.
+TEST_CASE_METHOD(control_fixture,
+                 "a lease ends soon after the last word of the job's home") {
+  listing.data_centre = "east";
+  ListWorker(state, listing, now);
+  Pass(1'500ms);
+  AnswerHold({.outcome = hold_outcome::kAnswered});
+  OnEnvelope(
+      state,
+      {.from = kPeer,
+       .to = kSelf,
+       .stream = 1,
+       .heard_stream = 1,
+       .messages = {beat{.from = {.incarnation = kPeer,
+                                  .name = "peer",
+                                  .address = "10.0.0.2:1",
+                                  .data_centre = "west"}},
+                    part_offer{.ref = {.job = 1},
+                               .queue = "q",
+                               .upstream = "plata",
+                               .attempts = 1,
+                               .job = {.id = "j",
+                                       .steps = {{.count = 1,
+                                                  .need = {.cpu_milli = 1'000},
+                                                  .estimate = 900ms}}},
+                               .count = 1,
+                               .objective_left = 2'000ms,
+                               .deadline_left = 4'000ms}}},
+      now);
+  const instant last_word = now;
+  Pass(20ms);
+  REQUIRE(starts.size() == 1);
+  OnStartReply(state, "w", starts[0].name, start_outcome::kAccepted, 1'000,
+               now);
+  while (now < last_word + 800ms) {
+    Pass(100ms);
+    AnswerHold({.outcome = hold_outcome::kAnswered,
+                .running = {{.name = starts[0].name}}});
+  }
+  // The worker's clock showed 1,000 ms when it answered last.
+  REQUIRE(last_hold.lease_until_ms);
+  const instant lease_end =
+      now + std::chrono::milliseconds(*last_hold.lease_until_ms - 1'000);
+  CHECK(lease_end <= last_word + state.options.orphan_limit);
+}
+
 TEST_CASE_METHOD(control_fixture, "a worker that left the list stays 2 s") {
   Pass(1'500ms);
   AnswerHold({.outcome = hold_outcome::kAnswered});
