Strong entries control workers before weak ones

An entry now tells its processor in its row and beats; a data centre's workers go to its strongest entries until they are carried (160 workers a core: 40 at 0.25, as before), by weighted rendezvous hashing.

The lease, its renewal and the orphan limit now follow the settings' resendMs and holdMaxMs, for deployments whose callers come back sooner.

--- a/packages/bench/fleet/fleet_sim.cc
+++ b/packages/bench/fleet/fleet_sim.cc
@@ -42,6 +42,7 @@
 constexpr milliseconds kDrainLimit{2'000};
 constexpr uint32_t kMostTries = 3;
 constexpr uint32_t kWorkerCpu = 16'000;
+constexpr uint32_t kEntryCpu = 250;
 
 /// One entry process.
 struct sim_entry {
@@ -230,7 +231,8 @@
                                 {.incarnation = one.incarnation,
                                  .name = one.name,
                                  .address = std::to_string(at),
-                                 .data_centre = at % 2 == 0 ? "east" : "west"},
+                                 .data_centre = at % 2 == 0 ? "east" : "west",
+                                 .cpu_milli = kEntryCpu},
                                 loop_.now());
   fleet::ApplyConfig(one.state,
                      std::make_shared<const fleet::fleet_config>(MakeConfig()),
--- a/packages/daemon/src/entry_rows.cc
+++ b/packages/daemon/src/entry_rows.cc
@@ -22,7 +22,8 @@
 std::string FormatEntryRow(const fleet::entry_identity& identity) {
   return json{{"incarnation", identity.incarnation},
               {"address", identity.address},
-              {"data_centre", identity.data_centre}}
+              {"data_centre", identity.data_centre},
+              {"cpu_milli", identity.cpu_milli}}
       .dump();
 }
 
@@ -32,14 +33,16 @@
   if (!row.is_object() || !row.contains("incarnation") ||
       !row["incarnation"].is_number_unsigned() || !row.contains("address") ||
       !row["address"].is_string() || !row.contains("data_centre") ||
-      !row["data_centre"].is_string()) {
+      !row["data_centre"].is_string() || !row.contains("cpu_milli") ||
+      !row["cpu_milli"].is_number_unsigned()) {
     return std::nullopt;
   }
   return fleet::entry_identity{
       .incarnation = row["incarnation"].get<uint64_t>(),
       .name = name,
       .address = row["address"].get<std::string>(),
-      .data_centre = row["data_centre"].get<std::string>()};
+      .data_centre = row["data_centre"].get<std::string>(),
+      .cpu_milli = row["cpu_milli"].get<uint32_t>()};
 }
 
 entry_rows::entry_rows(const std::unique_ptr<fleet::row_port>& rows,
--- a/packages/daemon/src/fleet_process.cc
+++ b/packages/daemon/src/fleet_process.cc
@@ -58,7 +58,17 @@
   fleet::fleet_options options;
   // Below the longest lease, so that rounding never shortens it.
   constexpr milliseconds kLeaseReserve{100};
-  options.lease = settings.longest_lease - kLeaseReserve;
+  // For the last word of a dead entry on its way.
+  constexpr milliseconds kOrphanReserve{100};
+  // Beats and holds, which renew a lease, may be this late.
+  constexpr milliseconds kRenewalTime{300};
+  constexpr int kHoldsPerLease = 3;
+  options.orphan_limit = settings.resend_wait - kOrphanReserve;
+  options.lease =
+      std::min({options.lease, settings.longest_lease - kLeaseReserve,
+                options.orphan_limit - kRenewalTime});
+  options.hold_wait =
+      std::min(options.hold_wait, options.lease / kHoldsPerLease);
   options.stop_time = settings.stop_time;
   return options;
 }
@@ -237,7 +247,8 @@
       .incarnation = *number,
       .name = settings_.instance,
       .address = settings_.ip + ':' + std::to_string(settings_.first_peer_port),
-      .data_centre = settings_.data_centre};
+      .data_centre = settings_.data_centre,
+      .cpu_milli = settings_.cpu_milli};
   // What the followers told before stays.
   engine_.self = self;
   engine_.options = MakeOptions(settings_);
--- a/packages/daemon/test/table_follower_test.cc
+++ b/packages/daemon/test/table_follower_test.cc
@@ -172,7 +172,8 @@
   const fleet::entry_identity self{.incarnation = 1,
                                    .name = "entry1",
                                    .address = "10.0.0.1:7720",
-                                   .data_centre = "east"};
+                                   .data_centre = "east",
+                                   .cpu_milli = 250};
   own.Announce(self);
   own.Tick(now);
   const std::string text = script->writes.back().value;
--- a/packages/fleet/include/tarragondrift/fleet/fleet_options_base.h
+++ b/packages/fleet/include/tarragondrift/fleet/fleet_options_base.h
@@ -71,9 +71,10 @@
   /// After its start an entry listens this long before it takes workers.
   milliseconds settle_time{1'000};
 
-  /// Workers of a data centre that one entry controls at most, while it has
-  /// entries enough: 250 orders and ends a second at 2 to 3 runs a worker.
-  uint32_t workers_per_controller = 40;
+  /// Workers of a data centre that an entry controls at most for each core it
+  /// has, while there are entries enough: 40 of them, 250 orders and ends a
+  /// second, take about 0.1 core; an entry also has callers and peers.
+  uint32_t workers_per_core = 160;
   /// Share of the held workers that may be handed over at once, as a divisor;
   /// workers stand empty while their last runs end.
   uint32_t release_divisor = 3;
--- a/packages/fleet/include/tarragondrift/fleet/ownership_cmd.h
+++ b/packages/fleet/include/tarragondrift/fleet/ownership_cmd.h
@@ -15,17 +15,20 @@
   uint64_t incarnation = 0;
   std::string name;
   std::string data_centre;
+  /// Workers that it can control beside its other work.
+  size_t carries = 1;
 };
 
 /// Chooses the controllers of one data centre's workers: as few of its own
-/// entries as can carry them, or of all entries where it has none. Every entry
-/// with the same view chooses the same.
+/// entries as can carry them, or of all entries where it has none; the strong
+/// ones first. Every entry with the same view chooses the same.
 std::vector<controller_candidate> ChooseControllers(
     const std::vector<controller_candidate>& entries,
-    std::string_view data_centre, size_t workers, size_t per_controller);
+    std::string_view data_centre, size_t workers);
 
-/// Chooses the controller of one worker by rendezvous hashing, so that a
-/// change among the controllers moves few workers.
+/// Chooses the controller of one worker by weighted rendezvous hashing: each
+/// gets workers in proportion to what it can carry, and a change among the
+/// controllers moves few of them.
 /// @return nullptr when there are none.
 const controller_candidate* ChooseController(
     const std::vector<controller_candidate>& controllers,
--- a/packages/fleet/include/tarragondrift/fleet/peer_base.h
+++ b/packages/fleet/include/tarragondrift/fleet/peer_base.h
@@ -25,6 +25,8 @@
   /// "IP:port" for the other entries.
   std::string address;
   std::string data_centre;
+  /// Processor that it may use, in thousandths of a core.
+  uint32_t cpu_milli = 0;
 
   bool operator==(const entry_identity&) const = default;
 };
--- a/packages/fleet/src/ownership_cmd.cc
+++ b/packages/fleet/src/ownership_cmd.cc
@@ -1,6 +1,9 @@
 #include "tarragondrift/fleet/ownership_cmd.h"
 
 #include <algorithm>
+#include <cmath>
+#include <iterator>
+#include <utility>
 
 namespace tarragondrift::fleet {
 namespace {
@@ -24,11 +27,19 @@
   return hash;
 }
 
+/// Gives a hash between 0 and 1, both excluded.
+double UnitHashOf(std::string_view first, std::string_view second) {
+  constexpr int kMantissaBits = 53;
+  constexpr double kSteps = 1ULL << kMantissaBits;
+  const uint64_t high = HashOf(first, second) >> (64 - kMantissaBits);
+  return (static_cast<double>(high) + 0.5) / kSteps;
+}
+
 }  // namespace
 
 std::vector<controller_candidate> ChooseControllers(
     const std::vector<controller_candidate>& entries,
-    std::string_view data_centre, size_t workers, size_t per_controller) {
+    std::string_view data_centre, size_t workers) {
   std::vector<controller_candidate> chosen;
   std::copy_if(entries.begin(), entries.end(), std::back_inserter(chosen),
                [data_centre](const controller_candidate& one) {
@@ -37,15 +48,20 @@
   if (chosen.empty()) {
     chosen = entries;
   }
-  const size_t wanted =
-      std::max<size_t>(1, (workers + per_controller - 1) / per_controller);
   std::sort(chosen.begin(), chosen.end(),
             [data_centre](const controller_candidate& a,
                           const controller_candidate& b) {
-              return HashOf(data_centre, a.name) > HashOf(data_centre, b.name);
+              return std::make_pair(a.carries, HashOf(data_centre, a.name)) >
+                     std::make_pair(b.carries, HashOf(data_centre, b.name));
             });
-  if (chosen.size() > wanted) {
-    chosen.resize(wanted);
+  size_t carried = 0;
+  const auto enough = std::find_if(chosen.begin(), chosen.end(),
+                                   [&carried, workers](const auto& one) {
+                                     carried += one.carries;
+                                     return carried >= workers;
+                                   });
+  if (enough != chosen.end()) {
+    chosen.erase(std::next(enough), chosen.end());
   }
   return chosen;
 }
@@ -54,12 +70,13 @@
     const std::vector<controller_candidate>& controllers,
     std::string_view worker) {
   const controller_candidate* best = nullptr;
-  uint64_t best_hash = 0;
+  double best_score = 0;
   for (const controller_candidate& one : controllers) {
-    const uint64_t hash = HashOf(worker, one.name);
-    if (best == nullptr || hash > best_hash) {
+    const double score = -static_cast<double>(one.carries) /
+                         std::log(UnitHashOf(worker, one.name));
+    if (best == nullptr || score > best_score) {
       best = &one;
-      best_hash = hash;
+      best_score = score;
     }
   }
   return best;
--- a/packages/fleet/src/worker_cmd.cc
+++ b/packages/fleet/src/worker_cmd.cc
@@ -148,18 +148,25 @@
                      });
 }
 
+controller_candidate CandidateFor(const engine& state,
+                                  const entry_identity& entry) {
+  constexpr uint32_t kMilliPerCore = 1'000;
+  return {
+      .incarnation = entry.incarnation,
+      .name = entry.name,
+      .data_centre = entry.data_centre,
+      .carries = std::max(1U, entry.cpu_milli * state.options.workers_per_core /
+                                  kMilliPerCore)};
+}
+
 std::vector<controller_candidate> Candidates(const engine& state) {
   std::vector<controller_candidate> found;
   if (!state.leaving) {
-    found.push_back({.incarnation = state.self.incarnation,
-                     .name = state.self.name,
-                     .data_centre = state.self.data_centre});
+    found.push_back(CandidateFor(state, state.self));
   }
   for (const auto& [incarnation, one] : state.peers) {
     if (Usable(one)) {
-      found.push_back({.incarnation = incarnation,
-                       .name = one.identity.name,
-                       .data_centre = one.identity.data_centre});
+      found.push_back(CandidateFor(state, one.identity));
     }
   }
   return found;
@@ -618,8 +625,8 @@
   }
   std::map<std::string, std::vector<controller_candidate>> controllers;
   for (const auto& [data_centre, count] : sizes) {
-    controllers[data_centre] = ChooseControllers(
-        candidates, data_centre, count, state.options.workers_per_controller);
+    controllers[data_centre] =
+        ChooseControllers(candidates, data_centre, count);
   }
   size_t releasing = ReleaseBudget(state);
   for (auto& [id, one] : state.workers) {
--- a/packages/fleet/test/control_test.cc
+++ b/packages/fleet/test/control_test.cc
@@ -23,7 +23,8 @@
                        {.incarnation = kSelf,
                         .name = "self",
                         .address = "10.0.0.1:1",
-                        .data_centre = "east"},
+                        .data_centre = "east",
+                        .cpu_milli = 250},
                        now);
     ApplyConfig(state,
                 std::make_shared<const fleet_config>(
@@ -69,7 +70,8 @@
     beat told{.from = {.incarnation = kPeer,
                        .name = "peer",
                        .address = "10.0.0.2:1",
-                       .data_centre = "west"}};
+                       .data_centre = "west",
+                       .cpu_milli = 250}};
     if (claims) {
       told.claims.push_back({.worker = "w", .fence = 4'098});
     }
--- a/packages/fleet/test/decisions_test.cc
+++ b/packages/fleet/test/decisions_test.cc
@@ -79,24 +79,46 @@
   for (size_t at = 0; at < count; ++at) {
     entries.push_back({.incarnation = at + 1,
                        .name = "entry" + std::to_string(at),
-                       .data_centre = at % 2 == 0 ? "east" : "west"});
+                       .data_centre = at % 2 == 0 ? "east" : "west",
+                       .carries = 40});
   }
   return entries;
 }
 
 TEST_CASE("a data centre's workers go to as few of its entries as carry them") {
-  const auto few = ChooseControllers(Entries(8), "east", 12, 40);
+  const auto few = ChooseControllers(Entries(8), "east", 12);
   REQUIRE(few.size() == 1);
   CHECK(few[0].data_centre == "east");
-  CHECK(ChooseControllers(Entries(8), "east", 81, 40).size() == 3);
-  CHECK(ChooseControllers(Entries(8), "east", 1'000, 40).size() == 4);
+  CHECK(ChooseControllers(Entries(8), "east", 81).size() == 3);
+  CHECK(ChooseControllers(Entries(8), "east", 1'000).size() == 4);
 }
 
 TEST_CASE("a data centre without entries is served by the others") {
-  const auto others = ChooseControllers(Entries(8), "north", 12, 40);
+  const auto others = ChooseControllers(Entries(8), "north", 12);
   REQUIRE(others.size() == 1);
 }
 
+// Entries of 0.12 cores that controlled 40 workers each started tasks 146 ms
+// late, beside others of 0.5 cores that controlled none.
+TEST_CASE("strong entries control workers before weak ones, in proportion") {
+  std::vector<controller_candidate> entries = Entries(8);
+  entries[4].carries = 80;
+  const auto one = ChooseControllers(entries, "east", 70);
+  REQUIRE(one.size() == 1);
+  CHECK(one[0].name == "entry4");
+  const auto two = ChooseControllers(entries, "east", 100);
+  REQUIRE(two.size() == 2);
+  size_t at_strong = 0;
+  constexpr size_t kWorkers = 3'000;
+  for (size_t worker = 0; worker < kWorkers; ++worker) {
+    const auto* const chosen =
+        ChooseController(two, "w" + std::to_string(worker));
+    at_strong += chosen->name == "entry4" ? 1 : 0;
+  }
+  CHECK(at_strong > kWorkers * 60 / 100);
+  CHECK(at_strong < kWorkers * 73 / 100);
+}
+
 TEST_CASE("the loss of a controller moves only its workers") {
   auto controllers = Entries(4);
   size_t moved = 0;
--- a/packages/link/src/fleet_codec.cc
+++ b/packages/link/src/fleet_codec.cc
@@ -110,6 +110,7 @@
   to.set_name(from.from.name);
   to.set_address(from.from.address);
   to.set_data_centre(from.from.data_centre);
+  to.set_cpu_milli(from.from.cpu_milli);
   to.set_leaving(from.leaving);
   to.set_config_version(from.config_version);
   for (const fleet::worker_claim& claim : from.claims) {
@@ -123,7 +124,8 @@
   fleet::beat decoded{.from = {.incarnation = from.incarnation(),
                                .name = from.name(),
                                .address = from.address(),
-                               .data_centre = from.data_centre()},
+                               .data_centre = from.data_centre(),
+                               .cpu_milli = from.cpu_milli()},
                       .leaving = from.leaving(),
                       .config_version = from.config_version()};
   for (const wire::FleetClaim& claim : from.claims()) {
