--- a/packages/bench/fleet/fleet_sim.cc
+++ b/packages/bench/fleet/fleet_sim.cc
@@ -39,6 +39,8 @@
 /// How many times longer a long task runs than a short one, on average.
 constexpr double kLongTaskFactor = 3.3;
 constexpr milliseconds kResend{1'300};
+/// What a planned stop has for its answers.
+constexpr milliseconds kStopTime{2'900};
 constexpr milliseconds kDrainLimit{2'000};
 constexpr uint32_t kMostTries = 3;
 constexpr uint32_t kWorkerCpu = 16'000;
@@ -642,9 +644,9 @@
       return;
     default:
       Do(entry, entries_[entry].incarnation, [this](fleet::engine& state) {
-        fleet::BeginLeaving(state, loop_.now());
+        fleet::BeginLeaving(state, loop_.now() + kStopTime, loop_.now());
       });
-      loop_.After(milliseconds(3'000), [this, entry] {
+      loop_.After(kStopTime + milliseconds(100), [this, entry] {
         if (entries_[entry].up && entries_[entry].state.leaving) {
           Kill(entry, milliseconds(200));
         }
--- a/packages/daemon/src/fleet_process.cc
+++ b/packages/daemon/src/fleet_process.cc
@@ -32,11 +32,10 @@
 /// A balancer that asks for readiness each second stops sending after two
 /// misses; until then new connections still come.
 constexpr milliseconds kBalancerNotice{2'200};
-/// New jobs are refused this long before the end of a planned stop: the
-/// longest deadline of callers and time for the answer.
-constexpr milliseconds kLastJobs{1'900};
 /// Kept back from the time between SIGTERM and SIGKILL.
 constexpr milliseconds kStopReserve{500};
+/// Before that, what still runs gets its answer: a tick, and the answers' way.
+constexpr milliseconds kLastAnswers{100};
 /// Time without new connections before a planned stop ends.
 constexpr milliseconds kLastCalls{300};
 /// Time for bytes on their way before the process exits.
@@ -180,7 +179,9 @@
     callers_->CloseAfterAnswers();
     own_rows_->Withdraw();
     if (joined_.load() != 0) {
-      fleet::BeginLeaving(engine_, now);
+      fleet::BeginLeaving(
+          engine_, now + settings_.stop_grace - kStopReserve - kLastAnswers,
+          now);
     }
   });
 }
@@ -229,10 +230,6 @@
   FindLeftCallers(now);
   fleet::Tick(engine_, now);
   ready_.store(!stop_begun_ && fleet::IsReady(engine_));
-  if (stop_begun_ &&
-      now - *stop_begun_ >= settings_.stop_grace - kStopReserve - kLastJobs) {
-    refusing_.store(true);
-  }
   fleet_snapshot snapshot = SnapshotOf(engine_);
   snapshot.log_lines_dropped = limiter_.Dropped();
   metrics_.Update(snapshot);
--- a/packages/daemon/src/fleet_process.h
+++ b/packages/daemon/src/fleet_process.h
@@ -100,7 +100,6 @@
   std::optional<instant> stop_begun_;
   /// When a planned stop stopped taking connections.
   std::optional<instant> last_calls_;
-  std::atomic<bool> refusing_{false};
   instant next_tick_;
   instant next_left_check_;
   instant next_settings_check_;
--- a/packages/daemon/src/fleet_process_io.cc
+++ b/packages/daemon/src/fleet_process_io.cc
@@ -57,11 +57,7 @@
   std::string id = request.path.substr(queue->path_prefix.size());
   switch (platform::KindOf(request.method, id)) {
     case platform::request_kind::kSubmit:
-      if (refusing_.load()) {
-        refuse(result_code::kNotRunDraining);
-      } else {
-        OnSubmit(request, *queue, std::move(id));
-      }
+      OnSubmit(request, *queue, std::move(id));
       return;
     case platform::request_kind::kPending:
       // Jobs are not stored; those that wait do so for less than a second.
--- a/packages/fleet/include/tarragondrift/fleet/engine_base.h
+++ b/packages/fleet/include/tarragondrift/fleet/engine_base.h
@@ -142,6 +142,8 @@
   entry_identity self;
   instant started;
   bool leaving = false;
+  /// By then everything here has an answer, if it is leaving.
+  instant leave_by = instant::max();
   std::shared_ptr<const fleet_config> config;
   /// The configuration as the operator wrote it, for peers that miss it.
   std::string config_text;
--- a/packages/fleet/include/tarragondrift/fleet/engine_cmd.h
+++ b/packages/fleet/include/tarragondrift/fleet/engine_cmd.h
@@ -21,7 +21,7 @@
                  std::string text, instant now);
 
 /// Begins a planned stop: workers are handed over, what runs goes on.
-void BeginLeaving(engine& state, instant now);
+void BeginLeaving(engine& state, instant leave_by, instant now);
 
 /// Tells whether nothing is left to wait for in a planned stop.
 bool HasLeft(const engine& state);
--- a/packages/fleet/src/caller_cmd.cc
+++ b/packages/fleet/src/caller_cmd.cc
@@ -346,6 +346,13 @@
     Refuse(state, arrival, result_code::kNotRunDeadline, microseconds{0});
     return;
   }
+  const runtime_guess guess = GuessRuntime(state.runtimes, arrival.queue,
+                                           arrival.spec.steps.front().estimate);
+  if (state.leaving &&
+      now + chain - guess.median + guess.longest > state.leave_by) {
+    Refuse(state, arrival, result_code::kNotRunDraining, microseconds{0});
+    return;
+  }
   // An answer after the deadline is of no use, whatever the objective allows.
   const auto allowed = std::min(
       std::chrono::duration_cast<microseconds>(chain * queue->stretch +
@@ -358,8 +365,6 @@
     Refuse(state, arrival, result_code::kNotRunNoInstance, microseconds{0});
     return;
   }
-  const runtime_guess guess = GuessRuntime(state.runtimes, arrival.queue,
-                                           arrival.spec.steps.front().estimate);
   const microseconds wait = SpreadTasks(
       candidates, SpreadRequest(tasks, slack, chain,
                                 WantedSlowness(guess, allowed, patience)));
@@ -492,15 +497,19 @@
 void ExpireJobs(engine& state, instant now) {
   std::vector<uint64_t> over;
   std::vector<uint64_t> untold;
+  const bool leaves = now >= state.leave_by;
   for (const auto& [number, job] : state.jobs) {
-    if (now >= job.deadline) {
+    if (now >= job.deadline || leaves) {
       over.push_back(number);
     } else if (job.verdict && now - job.verdict_at > kVerdictWait) {
       untold.push_back(number);
     }
   }
   for (const uint64_t number : over) {
-    EndJob(state, number, result_code::kDeadlineExceeded, now);
+    EndJob(state, number,
+           leaves ? result_code::kStoppedAfterStart
+                  : result_code::kDeadlineExceeded,
+           now);
   }
   for (const uint64_t number : untold) {
     EndJob(state, number, result_code::kOutcomeUnknown, now);
--- a/packages/fleet/src/engine_cmd.cc
+++ b/packages/fleet/src/engine_cmd.cc
@@ -45,8 +45,9 @@
   return true;
 }
 
-void BeginLeaving(engine& state, instant now) {
+void BeginLeaving(engine& state, instant leave_by, instant now) {
   state.leaving = true;
+  state.leave_by = leave_by;
   state.next_beat = now;
   state.next_control = now;
   note_line line("leaving");
--- a/packages/fleet/src/part_cmd.cc
+++ b/packages/fleet/src/part_cmd.cc
@@ -575,6 +575,11 @@
 void ExpireParts(engine& state, instant now) {
   std::vector<std::pair<part_id, result_code>> over;
   state.parts.ForEach([&](part_id id, const part& one) {
+    if (now >= state.leave_by) {
+      over.emplace_back(id, HasStarted(one) ? result_code::kStoppedAfterStart
+                                            : result_code::kNotRunDraining);
+      return;
+    }
     if (now >= one.deadline) {
       over.emplace_back(id, result_code::kDeadlineExceeded);
       return;
--- a/packages/fleet/test/control_test.cc
+++ b/packages/fleet/test/control_test.cc
@@ -260,6 +260,45 @@
   CHECK(lease_end <= last_word + state.options.orphan_limit);
 }
 
+// An entry that is stopped used to cut the answers of what still ran at the
+// end, and took jobs that were longer than the time that was left.
+TEST_CASE_METHOD(control_fixture,
+                 "a planned stop answers everything in its time") {
+  Pass(1'500ms);
+  AnswerHold({.outcome = hold_outcome::kAnswered});
+  const auto submit = [this](uint64_t request, const char* id,
+                             std::chrono::milliseconds estimate) {
+    SubmitJob(state,
+              {.request = request,
+               .queue = "q",
+               .spec = {.id = id,
+                        .steps = {{.count = 1,
+                                   .need = {.cpu_milli = 1'000},
+                                   .estimate = estimate}}},
+               .patience = 4'000ms},
+              now);
+    Pass(20ms);
+  };
+  submit(1, "long", 900ms);
+  REQUIRE(starts.size() == 1);
+  OnStartReply(state, "w", starts[0].name, start_outcome::kAccepted, 1'000,
+               now);
+  const instant end = now + 1'000ms;
+  BeginLeaving(state, end, now);
+  submit(2, "too_long", 900ms);
+  REQUIRE(answers.size() == 1);
+  CHECK(answers[0].request == 2);
+  CHECK(answers[0].code == result_code::kNotRunDraining);
+  while (now < end + 40ms) {
+    Pass(100ms);
+    AnswerHold({.outcome = hold_outcome::kAnswered,
+                .running = {{.name = starts[0].name}}});
+  }
+  REQUIRE(answers.size() == 2);
+  CHECK(answers[1].request == 1);
+  CHECK(answers[1].code == result_code::kStoppedAfterStart);
+}
+
 TEST_CASE_METHOD(control_fixture, "a worker that left the list stays 2 s") {
   Pass(1'500ms);
   AnswerHold({.outcome = hold_outcome::kAnswered});
