An entry that has heard all others takes workers after 0.2 s

Ruled out: the store (lists read within 15 ms), joining (45 ms), old leases (over before the entries were back). Where the list of entries was read and every entry in it has been heard, nothing more can be learned by waiting; an entry in the list that stays silent keeps the old wait.

--- a/packages/bench/fleet/fleet_sim.cc
+++ b/packages/bench/fleet/fleet_sim.cc
@@ -244,6 +244,7 @@
       fleet::FindPeer(one.state, entries_[other].state.self, loop_.now());
     }
   }
+  one.state.peers_listed = true;
   TellWorkers(at);
   loop_.After(microseconds(Below(20'000)),
               [this, at, incarnation = one.incarnation] {
--- a/packages/daemon/src/fleet_process.cc
+++ b/packages/daemon/src/fleet_process.cc
@@ -228,6 +228,7 @@
     return;
   }
   FindLeftCallers(now);
+  engine_.peers_listed = entry_follower_->HasListed();
   fleet::Tick(engine_, now);
   ready_.store(!stop_begun_ && fleet::IsReady(engine_));
   fleet_snapshot snapshot = SnapshotOf(engine_);
--- a/packages/daemon/src/table_follower.h
+++ b/packages/daemon/src/table_follower.h
@@ -45,6 +45,9 @@
   /// Starts the next call when one is due.
   void Tick(instant now);
 
+  /// Tells whether a whole list was ever read.
+  bool HasListed() const { return listed_; }
+
   /// Tells whether a whole list was read and the last call was answered.
   bool Works() const { return listed_ && works_; }
 
--- a/packages/fleet/include/tarragondrift/fleet/engine_base.h
+++ b/packages/fleet/include/tarragondrift/fleet/engine_base.h
@@ -150,6 +150,8 @@
 
   std::map<std::string, worker> workers;
   std::map<uint64_t, peer> peers;
+  /// The list of entries was read since this process began.
+  bool peers_listed = false;
 
   /// Parts that this entry carries out.
   pool<part, part_id> parts;
--- a/packages/fleet/include/tarragondrift/fleet/fleet_options_base.h
+++ b/packages/fleet/include/tarragondrift/fleet/fleet_options_base.h
@@ -70,6 +70,9 @@
   milliseconds forget_limit{30'000};
   /// After its start an entry listens this long before it takes workers.
   milliseconds settle_time{1'000};
+  /// The same where every listed entry was heard: others that start at this
+  /// moment, as after a loss of power, get into the list.
+  milliseconds short_settle_time{200};
 
   /// Workers of a data centre that an entry controls at most for each core it
   /// has, while there are entries enough: 40 of them, 250 orders and ends a
--- a/packages/fleet/src/worker_cmd.cc
+++ b/packages/fleet/src/worker_cmd.cc
@@ -138,7 +138,13 @@
 
 /// Tells whether this entry has listened long enough to know who is there.
 bool KnowsPeers(const engine& state, instant now) {
-  if (now - state.started < state.options.settle_time) {
+  const bool all_heard =
+      state.peers_listed && !state.peers.empty() &&
+      std::all_of(state.peers.begin(), state.peers.end(),
+                  [](const auto& entry) { return entry.second.heard_ever; });
+  const milliseconds settle =
+      all_heard ? state.options.short_settle_time : state.options.settle_time;
+  if (now - state.started < settle) {
     return false;
   }
   return std::all_of(state.peers.begin(), state.peers.end(),
--- a/packages/fleet/test/control_test.cc
+++ b/packages/fleet/test/control_test.cc
@@ -118,6 +118,26 @@
   CHECK_FALSE(last_hold.lease_until_ms);
 }
 
+// After a loss of power all entries start at once; each waited a second for
+// others that were there already.
+TEST_CASE_METHOD(control_fixture,
+                 "an entry that has heard all others takes workers soon") {
+  listing.data_centre = "east";
+  ListWorker(state, listing, now);
+  state.peers_listed = true;
+  FindPeer(state,
+           {.incarnation = kPeer,
+            .name = "peer",
+            .address = "10.0.0.2:1",
+            .data_centre = "west"},
+           now);
+  Pass(400ms);
+  CHECK(holds == 0);
+  HearPeer(false);
+  Pass(100ms);
+  CHECK(holds == 1);
+}
+
 TEST_CASE_METHOD(control_fixture,
                  "a worker that does not answer is not fought for") {
   // Behind a cut both the controller and its workers are silent. An attempt
