News between many entries wait for each other

An entry of 0.12 cores beat to all 41 peers with each worker that it took or handed over, up to every 20 ms. With more than 13 entries such beats are now 100 ms apart. A reload of the settings also takes over resendMs.

--- a/packages/daemon/src/fleet_process.cc
+++ b/packages/daemon/src/fleet_process.cc
@@ -307,6 +307,7 @@
   settings_.stop_grace = fresh.stop_grace;
   settings_.stop_time = fresh.stop_time;
   settings_.longest_lease = fresh.longest_lease;
+  settings_.resend_wait = fresh.resend_wait;
   engine_.options = MakeOptions(settings_);
 }
 
--- a/packages/daemon/src/table_follower.h
+++ b/packages/daemon/src/table_follower.h
@@ -45,7 +45,7 @@
   /// Starts the next call when one is due.
   void Tick(instant now);
 
-  /// Tells whether a whole list was ever read.
+  /// Tells whether a whole list was read, and is followed since.
   bool HasListed() const { return listed_; }
 
   /// Tells whether a whole list was read and the last call was answered.
--- a/packages/fleet/include/tarragondrift/fleet/engine_base.h
+++ b/packages/fleet/include/tarragondrift/fleet/engine_base.h
@@ -170,6 +170,7 @@
   /// When this entry last did anything.
   instant last_active;
   instant next_beat;
+  instant last_beat;
   instant next_control;
   bool dispatch_due = false;
   /// Messages of this entry to itself.
--- a/packages/fleet/include/tarragondrift/fleet/fleet_options_base.h
+++ b/packages/fleet/include/tarragondrift/fleet/fleet_options_base.h
@@ -56,6 +56,9 @@
   /// Peers up to which that interval holds; with more it grows, so that beats
   /// stay within a thin link.
   uint32_t peers_at_beat_interval = 12;
+  /// With more, news that go out at once (a worker taken or handed over, a new
+  /// peer) wait for each other this long.
+  milliseconds least_beat_interval{100};
   /// With more, an entry that controls no worker beats this many times more
   /// rarely: only its jobs' controllers need to know soon that it is gone.
   uint32_t idle_beat_factor = 3;
--- a/packages/fleet/src/caller_cmd.cc
+++ b/packages/fleet/src/caller_cmd.cc
@@ -348,6 +348,7 @@
   }
   const runtime_guess guess = GuessRuntime(state.runtimes, arrival.queue,
                                            arrival.spec.steps.front().estimate);
+  // One task in 40 takes longer than this.
   if (state.leaving &&
       now + chain - guess.median + guess.longest > state.leave_by) {
     Refuse(state, arrival, result_code::kNotRunDraining, microseconds{0});
--- a/packages/fleet/src/peer_cmd.cc
+++ b/packages/fleet/src/peer_cmd.cc
@@ -296,9 +296,12 @@
     return one.silent && !one.in_flight &&
            now - last >= state.options.forget_limit;
   });
-  if (now < state.next_beat) {
+  const bool many = state.peers.size() > state.options.peers_at_beat_interval;
+  if (now < state.next_beat ||
+      (many && now - state.last_beat < state.options.least_beat_interval)) {
     return;
   }
+  state.last_beat = now;
   state.next_beat = now + BeatInterval(state, ControlsAny(state));
   for (auto& [incarnation, one] : state.peers) {
     if (one.outbox.empty() || !std::holds_alternative<beat>(one.outbox[0])) {
