One copy of what stood twice; a beat is made once for all peers

Behaviour stays as it is. - FNV-1a stood in three places: core/fnv_hash.h. - The start of a gRPC server stood in both links: link_server. - libcurl's common options stood in both users of the transfer loop: SetTransferOptions.

--- a/packages/bench/fleet/fleet_sim.cc
+++ b/packages/bench/fleet/fleet_sim.cc
@@ -91,6 +91,17 @@
     return cut_entries_.contains(entry) || cut_pairs_.contains({entry, worker});
   }
 
+  /// Draws how long an order is on its way; the late ones get no answer.
+  microseconds DrawWay() {
+    return Fraction() < late_share_ ? milliseconds(500 + Below(4'000))
+                                    : kOneWay;
+  }
+  /// Tells whether an order that was sent to one life of a worker reaches it.
+  bool Reaches(size_t entry, size_t worker, uint64_t life) const {
+    return !Cut(entry, worker) && workers_[worker]->Up() &&
+           workers_[worker]->Life() == life;
+  }
+
   void MakeWorkers();
   void MakeEntry(size_t at);
   void TellWorkers(size_t entry);
@@ -328,13 +339,11 @@
                           loop_.now());
     }
   };
-  const bool late = Fraction() < late_share_;
-  const microseconds way =
-      late ? milliseconds(500 + Below(4'000)) : milliseconds(1);
+  const microseconds way = DrawWay();
+  const bool late = way > kOneWay;
   loop_.After(way, [this, at, worker, order, reply, late,
                     life = workers_[worker]->Life()] {
-    if (Cut(at, worker) || !workers_[worker]->Up() ||
-        workers_[worker]->Life() != life) {
+    if (!Reaches(at, worker, life)) {
       return;
     }
     const auto outcome = workers_[worker]->Start(order);
@@ -357,13 +366,10 @@
 
 void world::CarryStop(size_t at, const fleet::stop_order& order) {
   const size_t worker = worker_by_id_.at(order.target.id);
-  const microseconds way = Fraction() < late_share_
-                               ? milliseconds(500 + Below(4'000))
-                               : milliseconds(1);
+  const microseconds way = DrawWay();
   loop_.After(
       way, [this, at, worker, order, way, life = workers_[worker]->Life()] {
-        if (Cut(at, worker) || !workers_[worker]->Up() ||
-            workers_[worker]->Life() != life) {
+        if (!Reaches(at, worker, life)) {
           return;
         }
         const auto outcome = workers_[worker]->Stop(order);
@@ -388,13 +394,11 @@
     fleet::OnHoldReply(state, order.target.id, order.number, reply, clock_ms,
                        loop_.now());
   };
-  const bool late = Fraction() < late_share_;
-  const microseconds way =
-      late ? milliseconds(500 + Below(4'000)) : milliseconds(1);
+  const microseconds way = DrawWay();
+  const bool late = way > kOneWay;
   loop_.After(way, [this, at, worker, order, take, late,
                     life = workers_[worker]->Life()] {
-    if (Cut(at, worker) || !workers_[worker]->Up() ||
-        workers_[worker]->Life() != life) {
+    if (!Reaches(at, worker, life)) {
       return;
     }
     workers_[worker]->Hold(order, [this, at, worker, take,
--- a/packages/core/src/key_owner_cmd.cc
+++ b/packages/core/src/key_owner_cmd.cc
@@ -6,6 +6,7 @@
 #include <iterator>
 
 #include "tarragondrift/core/entry_cmd.h"
+#include "tarragondrift/core/fnv_hash.h"
 
 namespace tarragondrift {
 namespace {
@@ -136,16 +137,9 @@
   if (!home || !time) {
     return std::nullopt;
   }
-  // FNV-1a: the same at every build and entry, which std::hash is not.
-  constexpr uint64_t kFnvOffset = 0xcbf29ce484222325U;
-  constexpr uint64_t kFnvPrime = 0x100000001b3U;
-  uint64_t hash = kFnvOffset;
-  for (const char symbol : id) {
-    hash = (hash ^ static_cast<unsigned char>(symbol)) * kFnvPrime;
-  }
   return issued_key{.home_data_centre = static_cast<uint16_t>(*home),
                     .issued = std::chrono::milliseconds(*time),
-                    .hash = hash};
+                    .hash = FnvOf(id)};
 }
 
 key_interval IntervalOf(const key_owner_options& options,
--- a/packages/core/src/share_cmd.cc
+++ b/packages/core/src/share_cmd.cc
@@ -2,6 +2,7 @@
 
 #include <algorithm>
 
+#include "tarragondrift/core/fnv_hash.h"
 #include "tarragondrift/core/loan_cmd.h"
 
 namespace tarragondrift {
@@ -345,15 +346,6 @@
   return value ^ (value >> 31U);
 }
 
-/// Hashes an address the same way in every process.
-uint64_t HashAddress(const std::string& address) {
-  uint64_t hash = 0xcbf29ce484222325ULL;
-  for (const char character : address) {
-    hash = (hash ^ static_cast<unsigned char>(character)) * 0x100000001b3ULL;
-  }
-  return hash;
-}
-
 }  // namespace
 
 shares MakeShares(const share_options& options) {
@@ -511,7 +503,7 @@
   }
   // Ranked by a hash of address and member, so that the slots which cannot be
   // split evenly fall to a different member at each instance.
-  const uint64_t base = HashAddress(address);
+  const uint64_t base = FnvOf(address);
   const uint64_t own = Mix(base ^ who.value);
   uint32_t rank = 0;
   for (const incarnation other : holders) {
--- a/packages/daemon/src/entry_rows.cc
+++ b/packages/daemon/src/entry_rows.cc
@@ -5,6 +5,7 @@
 #include <utility>
 
 #include "logging.h"
+#include "platform/json_fields.h"
 
 namespace tarragondrift {
 namespace {
@@ -29,20 +30,22 @@
 
 std::optional<fleet::entry_identity> ParseEntryRow(const std::string& name,
                                                    const std::string& text) {
-  const json row = json::parse(text, nullptr, false);
-  if (!row.is_object() || !row.contains("incarnation") ||
-      !row["incarnation"].is_number_unsigned() || !row.contains("address") ||
-      !row["address"].is_string() || !row.contains("data_centre") ||
-      !row["data_centre"].is_string() || !row.contains("cpu_milli") ||
-      !row["cpu_milli"].is_number_unsigned()) {
+  const std::optional<json> row = platform::ParseObject(text);
+  if (!row) {
     return std::nullopt;
   }
-  return fleet::entry_identity{
-      .incarnation = row["incarnation"].get<uint64_t>(),
-      .name = name,
-      .address = row["address"].get<std::string>(),
-      .data_centre = row["data_centre"].get<std::string>(),
-      .cpu_milli = row["cpu_milli"].get<uint32_t>()};
+  const auto incarnation = platform::Count(*row, "incarnation", std::nullopt);
+  const auto address = platform::Text(*row, "address", std::nullopt);
+  const auto data_centre = platform::Text(*row, "data_centre", std::nullopt);
+  const auto cpu_milli = platform::Count(*row, "cpu_milli", std::nullopt);
+  if (!incarnation || !address || !data_centre || !cpu_milli) {
+    return std::nullopt;
+  }
+  return fleet::entry_identity{.incarnation = *incarnation,
+                               .name = name,
+                               .address = *address,
+                               .data_centre = *data_centre,
+                               .cpu_milli = static_cast<uint32_t>(*cpu_milli)};
 }
 
 entry_rows::entry_rows(const std::unique_ptr<fleet::row_port>& rows,
--- a/packages/fleet/include/tarragondrift/fleet/peer_base.h
+++ b/packages/fleet/include/tarragondrift/fleet/peer_base.h
@@ -128,7 +128,6 @@
   bool in_flight_matters = false;
   std::vector<peer_message> outbox;
   load_table load;
-  uint64_t config_version = 0;
   /// Fences of the workers that it controls.
   std::map<std::string, uint64_t> claims;
 };
--- a/packages/fleet/include/tarragondrift/fleet/peer_cmd.h
+++ b/packages/fleet/include/tarragondrift/fleet/peer_cmd.h
@@ -37,8 +37,7 @@
 
 /// Queues a message for a peer, or handles it at once when it is for this
 /// entry itself.
-void SendTo(engine& state, uint64_t incarnation, peer_message message,
-            instant now);
+void SendTo(engine& state, uint64_t incarnation, peer_message message);
 
 /// Sends beats that are due and finds peers that went silent.
 void TickPeers(engine& state, instant now);
--- a/packages/fleet/src/caller_cmd.cc
+++ b/packages/fleet/src/caller_cmd.cc
@@ -146,18 +146,16 @@
                     .objective_left =
                         std::chrono::floor<milliseconds>(job.objective - now),
                     .deadline_left =
-                        std::chrono::floor<milliseconds>(job.deadline - now)},
-         now);
+                        std::chrono::floor<milliseconds>(job.deadline - now)});
 }
 
 /// Cancels the parts that have not ended.
-/// @param told whether their controllers' word is waited for.
-void CancelParts(engine& state, uint64_t number, instant now) {
+void CancelParts(engine& state, uint64_t number) {
   caller_job& job = state.jobs.at(number);
   for (uint32_t part = 0; part < job.parts.size(); ++part) {
     if (job.parts[part].phase == job_part_phase::kOffered) {
       SendTo(state, job.parts[part].controller,
-             part_cancel{.ref = {.job = number, .part = part}}, now);
+             part_cancel{.ref = {.job = number, .part = part}});
     }
   }
 }
@@ -173,7 +171,7 @@
 
 /// Answers and forgets a job; what still runs of it is stopped.
 void EndJob(engine& state, uint64_t number, result_code code, instant now) {
-  CancelParts(state, number, now);
+  CancelParts(state, number);
   const caller_job& job = state.jobs.at(number);
   NoteAnswer(state, job.spec.id, job.queue, code,
              std::chrono::floor<milliseconds>(now - job.arrived));
@@ -190,7 +188,7 @@
     job.verdict = verdict;
     job.verdict_at = now;
     job.retry_after = retry_after;
-    CancelParts(state, number, now);
+    CancelParts(state, number);
   }
   const bool started =
       std::any_of(job.parts.begin(), job.parts.end(),
@@ -410,7 +408,7 @@
           .With("age_ms",
                 std::chrono::floor<milliseconds>(now - job.arrived).count());
       Note(state, line);
-      CancelParts(state, number, now);
+      CancelParts(state, number);
       RemoveJob(state, number);
       return;
     }
@@ -420,7 +418,7 @@
 bool CancelJob(engine& state, const std::string& id, instant now) {
   state.cancelled[id] = now;
   for (auto& [incarnation, one] : state.peers) {
-    SendTo(state, incarnation, job_cancel{.job = id}, now);
+    SendTo(state, incarnation, job_cancel{.job = id});
   }
   CancelPartsOfJob(state, id, now);
   const auto at = state.job_by_id.find(id);
@@ -482,7 +480,7 @@
         // The controller may go on with what it was offered since it lost
         // track.
         SendTo(state, controller,
-               part_cancel{.ref = {.job = number, .part = part}}, now);
+               part_cancel{.ref = {.job = number, .part = part}});
         one.phase = job_part_phase::kCancelled;
         one.started = true;
         lost.push_back(number);
--- a/packages/fleet/src/ownership_cmd.cc
+++ b/packages/fleet/src/ownership_cmd.cc
@@ -5,22 +5,19 @@
 #include <iterator>
 #include <utility>
 
+#include "tarragondrift/core/fnv_hash.h"
+
 namespace tarragondrift::fleet {
 namespace {
 
 /// FNV-1a with a final mix, the same at every entry.
 uint64_t HashOf(std::string_view first, std::string_view second) {
-  constexpr uint64_t kOffset = 0xcbf29ce484222325;
-  constexpr uint64_t kPrime = 0x100000001b3;
-  uint64_t hash = kOffset;
-  const auto add = [&hash](std::string_view text) {
-    for (const char one : text) {
-      hash = (hash ^ static_cast<unsigned char>(one)) * kPrime;
-    }
-    hash = (hash ^ 0xff) * kPrime;
-  };
-  add(first);
-  add(second);
+  // No UTF-8 text contains this byte.
+  constexpr std::string_view kEndOfText = "\xff";
+  uint64_t hash = kFnvOffset;
+  for (const std::string_view text : {first, kEndOfText, second, kEndOfText}) {
+    hash = AddToFnv(hash, text);
+  }
   hash ^= hash >> 33U;
   hash *= 0xff51afd7ed558ccd;
   hash ^= hash >> 33U;
--- a/packages/fleet/src/part_cmd.cc
+++ b/packages/fleet/src/part_cmd.cc
@@ -104,13 +104,12 @@
 }
 
 void Report(engine& state, const part& owner, result_code code, bool started,
-            milliseconds retry_after, instant now) {
+            milliseconds retry_after) {
   SendTo(state, owner.home,
          part_result{.ref = owner.ref,
                      .code = code,
                      .started = started,
-                     .retry_after = retry_after},
-         now);
+                     .retry_after = retry_after});
 }
 
 /// Takes a part out of the state; its runs are stopped.
@@ -161,7 +160,7 @@
 void EndPart(engine& state, part_id id, result_code code, instant now) {
   const part& owner = state.parts.Get(id);
   const bool started = HasStarted(owner);
-  Report(state, owner, code, started, state.options.shortest_retry, now);
+  Report(state, owner, code, started, state.options.shortest_retry);
   note_line line("part_ended");
   line.With("job", owner.job.id)
       .With("part", static_cast<int64_t>(owner.ref.part))
@@ -419,7 +418,7 @@
   if (refusal != result_code::kOk) {
     const milliseconds retry = RetryAfter(wait, state.options.shortest_retry,
                                           state.options.longest_retry);
-    Report(state, made, refusal, false, retry, now);
+    Report(state, made, refusal, false, retry);
     note_line line("part_refused");
     line.With("job", made.job.id)
         .With("part", static_cast<int64_t>(made.ref.part))
--- a/packages/fleet/src/peer_cmd.cc
+++ b/packages/fleet/src/peer_cmd.cc
@@ -61,7 +61,6 @@
     one.leaving = received.leaving;
     NotePeer(state, "peer_leaving", one, "told", now);
   }
-  one.config_version = received.config_version;
   one.claims.clear();
   for (const worker_claim& claim : received.claims) {
     one.claims[claim.worker] = claim.fence;
@@ -74,8 +73,7 @@
   if (state.config && received.config_version < state.config->version) {
     SendTo(state, one.identity.incarnation,
            config_news{.version = state.config->version,
-                       .text = state.config_text},
-           now);
+                       .text = state.config_text});
   }
 }
 
@@ -270,9 +268,7 @@
   }
 }
 
-void SendTo(engine& state, uint64_t incarnation, peer_message message,
-            instant now) {
-  (void)now;
+void SendTo(engine& state, uint64_t incarnation, peer_message message) {
   if (incarnation == state.self.incarnation) {
     state.loopback.push_back(std::move(message));
     return;
@@ -303,11 +299,12 @@
   }
   state.last_beat = now;
   state.next_beat = now + BeatInterval(state, ControlsAny(state));
+  const beat news = MakeBeat(state);
   for (auto& [incarnation, one] : state.peers) {
     if (one.outbox.empty() || !std::holds_alternative<beat>(one.outbox[0])) {
-      one.outbox.insert(one.outbox.begin(), MakeBeat(state));
+      one.outbox.insert(one.outbox.begin(), news);
     } else {
-      one.outbox[0] = MakeBeat(state);
+      one.outbox[0] = news;
     }
   }
 }
--- a/packages/gate/src/upstream_attempt.cc
+++ b/packages/gate/src/upstream_attempt.cc
@@ -84,13 +84,10 @@
   attempt.headers = MakeHeaders(attempt, easy);
   attempt.most_answer_bytes = options.most_answer_bytes;
   const std::string url = "http://" + attempt.start.address + "/run";
-  curl_easy_setopt(easy, CURLOPT_URL, url.c_str());
-  curl_easy_setopt(easy, CURLOPT_PRIVATE, &attempt);
-  curl_easy_setopt(easy, CURLOPT_NOSIGNAL, 1L);
-  curl_easy_setopt(easy, CURLOPT_PROXY, "");
-  curl_easy_setopt(easy, CURLOPT_PROTOCOLS_STR, "http");
-  curl_easy_setopt(easy, CURLOPT_HTTP_VERSION, CURL_HTTP_VERSION_1_1);
-  curl_easy_setopt(easy, CURLOPT_HTTPHEADER, attempt.headers.get());
+  SetTransferOptions(easy, {.url = url.c_str(),
+                            .headers = attempt.headers.get(),
+                            .connect_timeout = options.connect_timeout,
+                            .timeout = attempt.start.timeout});
   curl_easy_setopt(easy, CURLOPT_POST, 1L);
   curl_easy_setopt(easy, CURLOPT_POSTFIELDS, attempt.start.payload.data());
   curl_easy_setopt(easy, CURLOPT_POSTFIELDSIZE_LARGE,
@@ -101,12 +98,6 @@
   curl_easy_setopt(easy, CURLOPT_HEADERDATA, &attempt);
   curl_easy_setopt(easy, CURLOPT_PREREQFUNCTION, &OnBeforeRequest);
   curl_easy_setopt(easy, CURLOPT_PREREQDATA, &attempt);
-  curl_easy_setopt(easy, CURLOPT_CONNECTTIMEOUT_MS,
-                   static_cast<long>(  // NOLINT: libcurl's type
-                       options.connect_timeout.count()));
-  curl_easy_setopt(easy, CURLOPT_TIMEOUT_MS,
-                   static_cast<long>(  // NOLINT: libcurl's type
-                       attempt.start.timeout.count()));
   curl_easy_setopt(easy, CURLOPT_MAXAGE_CONN,
                    static_cast<long>(  // NOLINT: libcurl's type
                        options.longest_idle.count()));
--- a/packages/link/src/fleet_link.cc
+++ b/packages/link/src/fleet_link.cc
@@ -11,6 +11,7 @@
 #include "channel_arguments.h"
 #include "fleet.grpc.pb.h"
 #include "fleet_codec.h"
+#include "link_server.h"
 
 namespace tarragondrift {
 namespace {
@@ -59,21 +60,13 @@
       std::unique_lock lock(mutex_);
       ended_.wait(lock, [this] { return running_ == 0; });
     }
-    if (server_ != nullptr) {
-      server_->Shutdown(std::chrono::system_clock::now() + kStopGrace);
-      server_->Wait();
-    }
+    StopLinkServer(server_.get(), kStopGrace);
   }
 
   bool Listen() {
     grpc::ServerBuilder builder;
-    int port = 0;
-    builder.AddListeningPort(options_.address,
-                             grpc::InsecureServerCredentials(), &port);
-    builder.AddChannelArgument(GRPC_ARG_ALLOW_REUSEPORT, 0);
-    builder.RegisterService(&service_);
-    server_ = builder.BuildAndStart();
-    return server_ != nullptr && port != 0;
+    server_ = StartLinkServer(builder, options_.address, service_);
+    return server_ != nullptr;
   }
 
   void Deliver(const std::string& address, const fleet::envelope& content,
--- a/packages/link/src/peer_server.cc
+++ b/packages/link/src/peer_server.cc
@@ -9,6 +9,7 @@
 #include <string_view>
 #include <utility>
 
+#include "link_server.h"
 #include "peer.grpc.pb.h"
 #include "peer_codec.h"
 #include "tarragondrift/gate/limits.h"
@@ -206,25 +207,14 @@
   grpc_peer_server(const grpc_peer_server&) = delete;
   grpc_peer_server& operator=(const grpc_peer_server&) = delete;
 
-  ~grpc_peer_server() override {
-    if (server_ != nullptr) {
-      server_->Shutdown(std::chrono::system_clock::now() + kStopGrace);
-      server_->Wait();
-    }
-  }
+  ~grpc_peer_server() override { StopLinkServer(server_.get(), kStopGrace); }
 
   bool Listen() {
     grpc::ServerBuilder builder;
-    int port = 0;
-    builder.AddListeningPort(options_.address,
-                             grpc::InsecureServerCredentials(), &port);
     builder.SetMaxReceiveMessageSize(
         static_cast<int>(options_.most_message_bytes));
-    // Two processes must not share one address in silence.
-    builder.AddChannelArgument(GRPC_ARG_ALLOW_REUSEPORT, 0);
-    builder.RegisterService(&service_);
-    server_ = builder.BuildAndStart();
-    return server_ != nullptr && port != 0;
+    server_ = StartLinkServer(builder, options_.address, service_);
+    return server_ != nullptr;
   }
 
  private:
--- a/packages/ports/include/tarragondrift/ports/transfer_loop.h
+++ b/packages/ports/include/tarragondrift/ports/transfer_loop.h
@@ -32,6 +32,20 @@
 /// Adds one header line to a list.
 void AppendHeader(slist_ptr& list, const std::string& line);
 
+/// What every HTTP transfer of a loop sets.
+struct transfer_options {
+  /// libcurl copies it.
+  const char* url = nullptr;
+  /// Stays until the transfer's end.
+  curl_slist* headers = nullptr;
+  std::chrono::milliseconds connect_timeout{0};
+  /// Bounds the whole transfer.
+  std::chrono::milliseconds timeout{0};
+};
+
+/// Sets up a handle for plain HTTP/1.1, without proxies and signals.
+void SetTransferOptions(CURL* easy, const transfer_options& options);
+
 /// One transfer; it does not move while it runs.
 class transfer {
  public:
--- a/packages/ports/src/async_http_client.cc
+++ b/packages/ports/src/async_http_client.cc
@@ -34,24 +34,16 @@
     for (const http_header& header : request_.headers) {
       AppendHeader(headers_, header.name + ": " + header.value);
     }
-    curl_easy_setopt(easy, CURLOPT_URL, request_.url.c_str());
-    curl_easy_setopt(easy, CURLOPT_NOSIGNAL, 1L);
-    curl_easy_setopt(easy, CURLOPT_PROXY, "");
-    curl_easy_setopt(easy, CURLOPT_PROTOCOLS_STR, "http");
-    curl_easy_setopt(easy, CURLOPT_HTTP_VERSION, CURL_HTTP_VERSION_1_1);
-    curl_easy_setopt(easy, CURLOPT_HTTPHEADER, headers_.get());
+    SetTransferOptions(easy, {.url = request_.url.c_str(),
+                              .headers = headers_.get(),
+                              .connect_timeout = options_.connect_timeout,
+                              .timeout = request_.timeout});
     curl_easy_setopt(easy, CURLOPT_WRITEFUNCTION, &OnBody);
     curl_easy_setopt(easy, CURLOPT_WRITEDATA, this);
     curl_easy_setopt(easy, CURLOPT_PREREQFUNCTION, &OnBeforeRequest);
     curl_easy_setopt(easy, CURLOPT_PREREQDATA, this);
     curl_easy_setopt(easy, CURLOPT_SOCKOPTFUNCTION, &OnSocketMade);
     curl_easy_setopt(easy, CURLOPT_SOCKOPTDATA, &options_);
-    curl_easy_setopt(easy, CURLOPT_CONNECTTIMEOUT_MS,
-                     static_cast<long>(  // NOLINT: libcurl's type
-                         options_.connect_timeout.count()));
-    curl_easy_setopt(easy, CURLOPT_TIMEOUT_MS,
-                     static_cast<long>(  // NOLINT: libcurl's type
-                         request_.timeout.count()));
     SetMethod(easy);
   }
 
--- a/packages/ports/src/transfer_loop.cc
+++ b/packages/ports/src/transfer_loop.cc
@@ -59,6 +59,21 @@
   }
 }
 
+void SetTransferOptions(CURL* easy, const transfer_options& options) {
+  const auto count = [](milliseconds time) {
+    return static_cast<long>(time.count());  // NOLINT: libcurl's type
+  };
+  curl_easy_setopt(easy, CURLOPT_URL, options.url);
+  curl_easy_setopt(easy, CURLOPT_NOSIGNAL, 1L);
+  curl_easy_setopt(easy, CURLOPT_PROXY, "");
+  curl_easy_setopt(easy, CURLOPT_PROTOCOLS_STR, "http");
+  curl_easy_setopt(easy, CURLOPT_HTTP_VERSION, CURL_HTTP_VERSION_1_1);
+  curl_easy_setopt(easy, CURLOPT_HTTPHEADER, options.headers);
+  curl_easy_setopt(easy, CURLOPT_CONNECTTIMEOUT_MS,
+                   count(options.connect_timeout));
+  curl_easy_setopt(easy, CURLOPT_TIMEOUT_MS, count(options.timeout));
+}
+
 transfer_loop::transfer_loop(const transfer_loop_options& options)
     : multi_(curl_multi_init()),
       epoll_(epoll_create1(EPOLL_CLOEXEC)),
