fleet: exchange heartbeats by role, and follow workers only at candidates

Cause: with 147 entries each kept a gRPC channel to all 146 others, sent heartbeats to all, and decoded 730 worker rows a second. Loads on which jobs were placed were up to 8 s old.

Change: above 13 entries, entries exchange heartbeats only with contacts, which contact_cmd chooses by role: candidates (controllers and two standbys a data centre) with each other, every entry with the candidates of its own data centre and four controllers elsewhere. Only candidates follow the list of workers. A candidate acquires workers only with a complete list, and after it has listened to the other candidates. Keepalives that are not acknowledged show the failure of a job's controller within the silence limit. Cancellations reach all controllers by a relay, and end the job at its origin.

--- a/packages/bench/fleet/fleet_sim.cc
+++ b/packages/bench/fleet/fleet_sim.cc
@@ -84,6 +84,9 @@
     return std::uniform_int_distribution<uint32_t>(0, limit - 1)(random_);
   }
   bool HasLongTasks() const { return schedule_.seed % 2 == 1; }
+  std::string DataCentreOf(size_t at) const {
+    return "dc" + std::to_string(at % schedule_.data_centres);
+  }
   milliseconds Deadline() const {
     return HasLongTasks() ? kLongDeadline : kShortDeadline;
   }
@@ -170,7 +173,7 @@
         .listing = {.id = id,
                     .address = id,
                     .upstream = "plata",
-                    .data_centre = at % 2 == 0 ? "east" : "west",
+                    .data_centre = DataCentreOf(at),
                     .capacity = {.cpu_milli = kWorkerCpu},
                     .boot_time_ms = 1},
         .clock_speed = Fraction() < 0.5 ? 0.98 : 1.0,
@@ -233,6 +236,7 @@
   one.frozen = false;
   one.held.clear();
   fleet::fleet_options options;
+  options.workers_per_core = schedule_.workers_per_core;
   if (schedule_.mutation == fleet_mutation::kNoLeaseWait) {
     options.lease_margin = -options.lease;
   }
@@ -244,12 +248,11 @@
                                 {.incarnation = one.incarnation,
                                  .name = one.name,
                                  .address = std::to_string(at),
-                                 .data_centre = at % 2 == 0 ? "east" : "west",
+                                 .data_centre = DataCentreOf(at),
                                  .cpu_milli = kEntryCpu},
                                 loop_.now());
-  fleet::ApplyConfig(one.state,
-                     std::make_shared<const fleet::fleet_config>(MakeConfig()),
-                     "", loop_.now());
+  fleet::ApplyConfig(
+      one.state, std::make_shared<const fleet::fleet_config>(MakeConfig()), "");
   for (size_t other = 0; other < entries_.size(); ++other) {
     if (other != at && entries_[other].incarnation != 0) {
       fleet::AddPeer(one.state, entries_[other].state.self, loop_.now());
@@ -418,6 +421,7 @@
 }
 
 void world::CarryMessage(size_t at, const fleet::peer_send& message) {
+  ++outcome_.envelopes;
   const size_t to = std::stoul(message.address);
   const uint64_t incarnation = entries_[at].incarnation;
   const auto answered = std::make_shared<bool>(false);
@@ -688,6 +692,13 @@
   for (const auto& one : workers_) {
     outcome_.stale_orders += one->StaleOrders();
   }
+  for (const sim_entry& one : entries_) {
+    const auto contacts =
+        std::count_if(one.state.peers.begin(), one.state.peers.end(),
+                      [](const auto& peer) { return peer.second.contact; });
+    outcome_.max_contacts =
+        std::max(outcome_.max_contacts, static_cast<uint64_t>(contacts));
+  }
   for (const auto& [id, job] : jobs_) {
     outcome_.unanswered += job.ended ? 0 : 1;
   }
@@ -708,6 +719,8 @@
   starts_after_drain += other.starts_after_drain;
   partial_answers += other.partial_answers;
   unanswered += other.unanswered;
+  envelopes += other.envelopes;
+  max_contacts = std::max(max_contacts, other.max_contacts);
   return *this;
 }
 
--- a/packages/bench/fleet/fleet_sim.h
+++ b/packages/bench/fleet/fleet_sim.h
@@ -29,6 +29,9 @@
   uint64_t seed = 1;
   uint32_t entries = 3;
   uint32_t workers = 6;
+  uint32_t data_centres = 2;
+  /// Workers that an entry may control per core.
+  uint32_t workers_per_core = 160;
   /// Jobs a second over all entries.
   double jobs_per_second = 12;
   std::chrono::milliseconds length{5'000};
@@ -58,6 +61,10 @@
   uint64_t partial_answers = 0;
   /// Jobs neither answered nor lost with their entry 3 s after their deadline.
   uint64_t unanswered = 0;
+  /// Envelopes between entries, and the highest number of contacts of an entry
+  /// at the end.
+  uint64_t envelopes = 0;
+  uint64_t max_contacts = 0;
 
   fleet_outcome& operator+=(const fleet_outcome& other);
 };
--- a/packages/bench/fleet/main.cc
+++ b/packages/bench/fleet/main.cc
@@ -74,9 +74,11 @@
          outcome.partial_answers + outcome.unanswered;
 }
 
-/// Every eighth schedule has many entries, which beat more rarely.
+/// Every eighth schedule has more entries than a full mesh, and every 16th has
+/// several controllers and standbys in each data centre besides.
 fleet_schedule MakeSchedule(uint64_t seed, const options& chosen) {
   constexpr uint64_t kLargeEvery = 8;
+  constexpr uint64_t kTieredEvery = 16;
   fleet_schedule made{
       .seed = seed, .mutation = chosen.mutation, .trace = chosen.trace};
   if (seed % kLargeEvery == 0) {
@@ -85,6 +87,14 @@
     made.jobs_per_second = 20;
     made.faults = 8;
   }
+  if (seed % kTieredEvery == 0) {
+    made.entries = 48;
+    made.workers = 24;
+    made.data_centres = 3;
+    made.workers_per_core = 16;
+    made.jobs_per_second = 30;
+    made.faults = 16;
+  }
   return made;
 }
 
--- a/packages/daemon/src/fleet_process.cc
+++ b/packages/daemon/src/fleet_process.cc
@@ -16,6 +16,7 @@
 #include "platform/runner_listing.h"
 #include "platform/store_calls.h"
 #include "tarragondrift/fleet/caller_cmd.h"
+#include "tarragondrift/fleet/contact_cmd.h"
 #include "tarragondrift/fleet/peer_cmd.h"
 
 namespace tarragondrift {
@@ -165,9 +166,7 @@
   const auto run = [this](step work) { Post(std::move(work)); };
   config_follower_ = std::make_unique<table_follower>(
       table_follower_options{.table = platform::kConfigTable}, rows_, run,
-      [this](const fleet::row_change& row, instant now) {
-        OnConfigRow(row, now);
-      });
+      [this](const fleet::row_change& row, instant) { OnConfigRow(row); });
   worker_follower_ = std::make_unique<table_follower>(
       table_follower_options{.table = platform::kRunnerTable,
                              .batch_pause = kWorkerBatchPause},
@@ -241,6 +240,11 @@
   }
   RemoveDisconnectedCallers(now);
   engine_.peers_listed = entry_follower_->HasListed();
+  // The first list tells how many workers there are, on which the choice of
+  // candidates depends.
+  worker_follower_->SetActive(
+      !worker_follower_->IsComplete() || fleet::NeedsWorkerList(engine_), now);
+  engine_.workers_listed = worker_follower_->IsComplete();
   fleet::Tick(engine_, now);
   ready_.store(!stop_started_ && fleet::IsReady(engine_));
   fleet_snapshot snapshot = SnapshotOf(engine_);
@@ -262,7 +266,7 @@
   // Changes that the followers applied before joining stay in the engine.
   engine_.self = self;
   engine_.options = MakeOptions(settings_);
-  engine_.started = now;
+  engine_.listening_since = now;
   engine_.last_active = now;
   engine_.next_heartbeat = now;
   engine_.next_control = now;
--- a/packages/daemon/src/fleet_process.h
+++ b/packages/daemon/src/fleet_process.h
@@ -69,8 +69,8 @@
   void OnRequest(const held_request& request);
   void OnSubmit(const held_request& request, const fleet::queue_config& queue,
                 std::string id);
-  void OnConfigRow(const fleet::row_change& row, instant now);
-  void OnConfigText(const std::string& text, const char* source, instant now);
+  void OnConfigRow(const fleet::row_change& row);
+  void OnConfigText(const std::string& text, const char* source);
   void OnWorkerRow(const fleet::row_change& row, instant now);
   void OnEntryRow(const fleet::row_change& row, instant now);
   bool OnPeerEnvelope(fleet::envelope received);
--- a/packages/daemon/src/fleet_process_io.cc
+++ b/packages/daemon/src/fleet_process_io.cc
@@ -110,21 +110,20 @@
   });
 }
 
-void fleet_process::OnConfigRow(const fleet::row_change& row, instant now) {
+void fleet_process::OnConfigRow(const fleet::row_change& row) {
   if (row.key == platform::kConfigKey && !row.removed) {
-    OnConfigText(row.value, "store", now);
+    OnConfigText(row.value, "store");
   }
 }
 
-void fleet_process::OnConfigText(const std::string& text, const char* source,
-                                 instant now) {
+void fleet_process::OnConfigText(const std::string& text, const char* source) {
   const auto parsed = platform::ParseOperatorConfig(text);
   if (!parsed) {
     log_event(log_level::kWarning, "config_unreadable").With("source", source);
     return;
   }
   auto updated = std::make_shared<const fleet::fleet_config>(parsed.value());
-  if (fleet::ApplyConfig(engine_, updated, text, now)) {
+  if (fleet::ApplyConfig(engine_, updated, text)) {
     config_.store(std::move(updated));
   }
 }
@@ -163,7 +162,7 @@
   Post([this, received = std::move(received)](instant now) {
     for (const fleet::peer_message& message : received.messages) {
       if (const auto* update = std::get_if<fleet::config_update>(&message)) {
-        OnConfigText(update->text, "peer", now);
+        OnConfigText(update->text, "peer");
       }
     }
     fleet::OnEnvelope(engine_, received, now);
--- a/packages/daemon/src/table_follower.cc
+++ b/packages/daemon/src/table_follower.cc
@@ -19,8 +19,19 @@
       run_on_owner_(std::move(run)),
       handler_(std::move(handler)) {}
 
+void table_follower::SetActive(bool active, instant now) {
+  if (active == std::exchange(active_, active) || !active) {
+    return;
+  }
+  listed_ = false;
+  complete_ = false;
+  list_after_.clear();
+  outdated_call_ = in_flight_;
+  next_call_ = now;
+}
+
 void table_follower::Tick(instant now) {
-  if (in_flight_ || now < next_call_) {
+  if (!active_ || in_flight_ || now < next_call_) {
     return;
   }
   in_flight_ = true;
@@ -46,6 +57,9 @@
 
 void table_follower::OnListed(const row_batch& batch, instant now) {
   in_flight_ = false;
+  if (std::exchange(outdated_call_, false)) {
+    return;
+  }
   if (batch.outcome != row_outcome::kOk) {
     OnFailure(now);
     return;
@@ -66,6 +80,7 @@
   }
   list_after_.clear();
   listed_ = true;
+  complete_ = true;
   version_ = list_version_;
   RemoveUnlisted(now);
   OnSuccess(now);
@@ -73,6 +88,9 @@
 
 void table_follower::OnFollowed(const row_batch& batch, instant now) {
   in_flight_ = false;
+  if (std::exchange(outdated_call_, false)) {
+    return;
+  }
   if (batch.outcome == row_outcome::kHistoryLost) {
     log_event(log_level::kInfo, "history_lost")
         .With("table", options_.table)
--- a/packages/daemon/src/table_follower.h
+++ b/packages/daemon/src/table_follower.h
@@ -47,9 +47,17 @@
   /// Starts the next call if it is due and no call is in flight.
   void Tick(instant now);
 
+  /// Pauses or resumes following; active at first. The rows known so far stay
+  /// until the list that a resumption begins with is complete.
+  void SetActive(bool active, instant now);
+
   /// Whether a complete list was read and its changes are being followed.
   bool HasListed() const { return listed_; }
 
+  /// Whether a complete list was read since the start or the last resumption,
+  /// even if the store was lost since then.
+  bool IsComplete() const { return complete_; }
+
   /// Whether HasListed() holds and the last call succeeded.
   bool IsHealthy() const { return listed_ && healthy_; }
 
@@ -67,8 +75,12 @@
   const std::unique_ptr<fleet::row_port>& rows_;
   run_on_owner run_on_owner_;
   change_handler handler_;
+  bool active_ = true;
   bool in_flight_ = false;
+  /// The call in flight was made before following was resumed.
+  bool outdated_call_ = false;
   bool listed_ = false;
+  bool complete_ = false;
   bool healthy_ = false;
   instant next_call_;
   std::chrono::milliseconds backoff_{0};
--- a/packages/daemon/test/table_follower_test.cc
+++ b/packages/daemon/test/table_follower_test.cc
@@ -26,6 +26,10 @@
             std::function<void(row_batch)> done) override {
     ++lists;
     last_after = after;
+    if (hold) {
+      held = std::move(done);
+      return;
+    }
     done(Next());
   }
   void Follow(const std::string&, uint64_t version, std::chrono::milliseconds,
@@ -49,6 +53,9 @@
   }
 
   std::deque<row_batch> replies;
+  /// Keeps the reply to a list for later.
+  bool hold = false;
+  std::function<void(row_batch)> held;
   fleet::versioned_row read;
   row_outcome write = row_outcome::kOk;
   std::vector<fleet::row_update> writes;
@@ -138,6 +145,42 @@
   CHECK(seen.contains("a"));
 }
 
+// A follower that is resumed must not use rows that were removed meanwhile.
+TEST_CASE_METHOD(follower_fixture, "a resumed follower lists the table anew") {
+  script->replies = {
+      {.outcome = row_outcome::kOk,
+       .rows = {{.key = "a"}, {.key = "b"}},
+       .version = 5},
+      {.outcome = row_outcome::kOk, .rows = {{.key = "b"}}, .version = 50}};
+  Step();
+  CHECK(follower->IsComplete());
+  follower->SetActive(false, now);
+  Step();
+  CHECK(script->replies.size() == 1);
+  CHECK(seen.contains("a"));
+  follower->SetActive(true, now);
+  CHECK_FALSE(follower->IsComplete());
+  Step();
+  CHECK(follower->IsComplete());
+  CHECK(seen == std::map<std::string, std::string>{{"b", ""}});
+}
+
+TEST_CASE_METHOD(follower_fixture,
+                 "a reply to a call made before the resumption is dropped") {
+  script->hold = true;
+  Step();
+  follower->SetActive(false, now);
+  follower->SetActive(true, now);
+  // The last page of the earlier list.
+  script->held({.outcome = row_outcome::kOk, .rows = {{.key = "old"}}});
+  CHECK_FALSE(follower->IsComplete());
+  CHECK(seen.empty());
+  Step();
+  script->held({.outcome = row_outcome::kOk, .rows = {{.key = "new"}}});
+  CHECK(follower->IsComplete());
+  CHECK(seen.contains("new"));
+}
+
 TEST_CASE("an incarnation number is claimed only by a confirmed write") {
   instant now;
   auto made = std::make_unique<scripted_rows>();
--- a/packages/fleet/include/tarragondrift/fleet/engine_base.h
+++ b/packages/fleet/include/tarragondrift/fleet/engine_base.h
@@ -138,12 +138,22 @@
   std::map<result_code, uint64_t> answers;
 };
 
+/// Whom this entry tells of a change of its own at once.
+enum class announcement : uint8_t {
+  kNone,
+  /// A change of control, which concerns those that may control workers.
+  kToCandidates,
+  kToAllContacts,
+};
+
 /// The whole state of an entry. Only commands change it; they get the time as
 /// an argument.
 struct engine {
   fleet_options options;
   entry_identity self;
-  instant started;
+  /// Since when this entry has been listening for peers without interruption:
+  /// since its start or the last pause of its process.
+  instant listening_since;
   bool leaving = false;
   /// During a planned stop, the time by which all jobs are answered.
   instant leave_by = instant::max();
@@ -155,6 +165,19 @@
   std::map<uint64_t, peer> peers;
   /// The list of entries was read since this process started.
   bool peers_listed = false;
+  /// This entry controls workers or is next in line for it. Always true in a
+  /// small fleet.
+  bool candidate = true;
+  /// When it last became a candidate.
+  instant candidate_since;
+  /// Number of candidates, this entry included, and of contacts when contacts
+  /// were last chosen, and when they are due to be chosen again.
+  size_t candidates = 0;
+  size_t contacts = 0;
+  instant next_contact_choice;
+  /// The list of workers is complete and up to date. It is followed only while
+  /// NeedsWorkerList holds.
+  bool workers_listed = true;
 
   /// Parts of which this entry is the controller.
   pool<part, part_id> parts;
@@ -174,6 +197,8 @@
   instant last_active;
   instant next_heartbeat;
   instant last_heartbeat;
+  /// Changes that contacts are told of before their next heartbeat is due.
+  announcement announce = announcement::kNone;
   instant next_control;
   bool dispatch_due = false;
   /// Messages from this entry to itself.
--- a/packages/fleet/include/tarragondrift/fleet/engine_cmd.h
+++ b/packages/fleet/include/tarragondrift/fleet/engine_cmd.h
@@ -18,7 +18,7 @@
 /// Applies a configuration unless the current one is as new or newer.
 /// @return whether it was applied.
 bool ApplyConfig(engine& state, std::shared_ptr<const fleet_config> config,
-                 std::string text, instant now);
+                 std::string text);
 
 /// Begins a planned stop: workers are handed over, runs go on.
 void BeginLeaving(engine& state, instant leave_by, instant now);
--- a/packages/fleet/include/tarragondrift/fleet/fleet_options_base.h
+++ b/packages/fleet/include/tarragondrift/fleet/fleet_options_base.h
@@ -58,16 +58,23 @@
 
   /// Interval of heartbeats to each peer.
   milliseconds heartbeat_interval{250};
-  /// Number of peers up to which that interval is used. With more peers the
-  /// interval grows, so that heartbeats do not fill a narrow link.
-  uint32_t peers_at_base_interval = 12;
-  /// With more peers, heartbeats sent at once after a change (a worker acquired
-  /// or handed over, a new peer) are at least this far apart.
+  /// Number of peers up to which all entries exchange heartbeats at that
+  /// interval. With more peers only contacts do (see contact_cmd.h), and the
+  /// interval grows with their number, so that heartbeats do not fill a narrow
+  /// link.
+  uint32_t max_full_mesh_peers = 12;
+  /// Between contacts, heartbeats sent at once after a change (a worker
+  /// acquired or handed over) are at least this far apart.
   milliseconds min_heartbeat_interval{100};
-  /// With more peers, the interval of an entry that controls no workers is this
-  /// many times longer: only the controllers of its jobs need to detect its
-  /// failure soon.
-  uint32_t idle_heartbeat_factor = 3;
+  /// Factor of the interval between an entry and a contact that do not both
+  /// control workers: envelopes with offers and results come more often.
+  uint32_t origin_heartbeat_factor = 3;
+  /// Entries of a data centre that are next in line for the control of its
+  /// workers, beside those that control them.
+  size_t standby_controllers = 2;
+  /// Controllers of other data centres that an entry without workers keeps in
+  /// touch with, for jobs that its own data centre has no capacity for.
+  size_t remote_contacts = 4;
   /// A peer without messages for this long (at the base interval) is
   /// partitioned or dead. Covers three heartbeats and their transit time.
   milliseconds silence_limit{900};
@@ -78,10 +85,16 @@
   /// even if their controller fails as well. Callers resubmit a job 1.3 s after
   /// its origin died, and the last message may have been in transit.
   milliseconds orphan_limit{1'200};
-  /// A peer that has been silent for this long is forgotten.
+  /// A peer that has been silent for this long is forgotten, or, while it is
+  /// listed, gets heartbeats only at retired_interval.
   milliseconds forget_after{30'000};
-  /// How long an entry listens after its start before it acquires workers.
+  milliseconds retired_interval{5'000};
+  /// How long an entry listens after its start, or after a pause of its
+  /// process, before it acquires workers.
   milliseconds startup_wait{1'000};
+  /// How long to wait for the first message of a contact, which may still be
+  /// starting.
+  milliseconds first_message_timeout{1'500};
   /// Replaces startup_wait if all listed entries were heard. Leaves time for
   /// entries that start at the same moment, as after a power failure, to appear
   /// in the list.
--- a/packages/fleet/include/tarragondrift/fleet/ownership_cmd.h
+++ b/packages/fleet/include/tarragondrift/fleet/ownership_cmd.h
@@ -27,6 +27,12 @@
     const std::vector<controller_candidate>& entries,
     std::string_view data_centre, size_t workers);
 
+/// Returns the controllers that ChooseControllers chooses among the local
+/// entries, and up to `standbys` entries that would be chosen after them.
+std::vector<controller_candidate> ChooseCandidates(
+    const std::vector<controller_candidate>& entries,
+    std::string_view data_centre, size_t workers, size_t standbys);
+
 /// Chooses the controller of one worker by weighted rendezvous hashing: each
 /// controller gets workers in proportion to its `worker_capacity`, and adding
 /// or removing a controller reassigns few workers.
--- a/packages/fleet/include/tarragondrift/fleet/peer_base.h
+++ b/packages/fleet/include/tarragondrift/fleet/peer_base.h
@@ -68,6 +68,13 @@
   entry_identity from;
   bool leaving = false;
   uint64_t config_version = 0;
+  /// How often the sender sends to the receiver at least.
+  std::chrono::milliseconds interval{0};
+  /// The sender needs heartbeats from the receiver.
+  bool requests_contact = false;
+  /// The sender controls workers or is next in line for it.
+  bool is_candidate = false;
+  /// Sent to candidates only; the others never acquire workers.
   std::vector<worker_claim> claims;
 };
 
@@ -76,8 +83,9 @@
   part_ref ref;
 };
 
-/// A caller's request to cancel a job; sent to every entry, since the origin is
-/// not known.
+/// A caller's request to cancel a job, which any entry may receive. Sent to all
+/// contacts; a candidate relays it to its own, so that it reaches every
+/// controller.
 struct job_cancel {
   std::string job;
 };
@@ -109,8 +117,6 @@
 /// Another entry.
 struct peer {
   entry_identity identity;
-  /// When this entry learned of it.
-  instant discovered;
   /// Whether any message was received from it.
   bool ever_heard = false;
   instant last_heard;
@@ -118,6 +124,34 @@
   /// ended.
   bool silent = true;
   bool leaving = false;
+  /// It has a row in the list of entries.
+  bool listed = false;
+  /// Its row was removed.
+  bool withdrawn = false;
+  /// Heartbeats are exchanged with it; see contact_cmd.h.
+  bool contact = false;
+  /// When it became a contact; valid only while it is one.
+  instant contact_since;
+  /// Its last heartbeat requested contact.
+  bool requests_contact = false;
+  /// This entry needs heartbeats from it, and the last heartbeat to it said so.
+  bool wanted = false;
+  bool announced_wanted = false;
+  /// Since when parts of this entry's jobs are at it; unset while there are
+  /// none.
+  std::optional<instant> holds_parts_since;
+  /// When it last acknowledged an envelope.
+  instant last_acknowledged;
+  /// It controls workers or is next in line, by its own account or this
+  /// entry's.
+  bool candidate = false;
+  bool announced_candidate = false;
+  /// Its heartbeat interval, as announced; 0 if unknown.
+  std::chrono::milliseconds heartbeat_interval{0};
+  /// A heartbeat is due before the interval has passed.
+  bool heartbeat_due = false;
+  /// The last envelope to it was lost, and no heartbeat was sent since.
+  bool heartbeat_lost = false;
   uint64_t stream_in = 0;
   uint64_t stream_out = 1;
   bool in_flight = false;
@@ -132,6 +166,8 @@
   bool in_flight_has_content = false;
   std::vector<peer_message> outbox;
   load_table load;
+  /// When `load` was received.
+  instant load_received;
   /// Workers that it controls, with their fences.
   std::map<std::string, uint64_t> claims;
 };
--- a/packages/fleet/include/tarragondrift/fleet/peer_cmd.h
+++ b/packages/fleet/include/tarragondrift/fleet/peer_cmd.h
@@ -9,17 +9,11 @@
 
 namespace tarragondrift::fleet {
 
-/// Returns an entry's heartbeat interval to peers that hold no parts of its
-/// jobs. Peers that hold parts of its jobs get keepalives at the base interval.
-/// @param controls_workers whether that entry controls any workers.
-std::chrono::milliseconds HeartbeatInterval(const engine& state,
-                                            bool controls_workers);
-
 /// Adds an entry from the list of entries or updates its identity.
 void AddPeer(engine& state, const entry_identity& identity, instant now);
 
-/// Handles the removal of an entry's row: a peer that was never heard is
-/// forgotten.
+/// Handles the removal of an entry's row: the entry gets no further workers,
+/// and is forgotten once it is silent.
 void RemovePeerRow(engine& state, const std::string& name, instant now);
 
 /// Handles the messages of a peer.
@@ -38,6 +32,9 @@
 void OnDelivery(engine& state, uint64_t incarnation, delivery outcome,
                 instant now);
 
+/// Requests that contacts are told of a change before their next heartbeat.
+void AnnounceChange(engine& state, announcement to);
+
 /// Queues a message for a peer, or for this entry itself.
 void SendTo(engine& state, uint64_t incarnation, peer_message message);
 
--- a/packages/fleet/src/caller_cmd.cc
+++ b/packages/fleet/src/caller_cmd.cc
@@ -80,6 +80,21 @@
   return found;
 }
 
+/// Returns the age of the oldest load report that the spread relied on.
+milliseconds OldestLoadAge(const engine& state,
+                           const std::vector<spread_candidate>& candidates,
+                           instant now) {
+  milliseconds oldest{0};
+  for (const spread_candidate& candidate : candidates) {
+    const auto at = state.peers.find(candidate.controller);
+    if (candidate.assigned > 0 && at != state.peers.end()) {
+      oldest = std::max(oldest, std::chrono::floor<milliseconds>(
+                                    now - at->second.load_received));
+    }
+  }
+  return oldest;
+}
+
 /// Deducts tasks that were just offered from the controller's last load report,
 /// until its next one replaces it.
 void DeductOfferedTasks(engine& state, uint64_t controller,
@@ -397,6 +412,7 @@
       .With("expected_ms", critical_path.count())
       .With("deadline_ms", caller_timeout.count())
       .With("wait_us", wait.count())
+      .With("load_age_ms", OldestLoadAge(state, candidates, now).count())
       .With("config", static_cast<int64_t>(state.config->version));
   state.job_by_id[arrival.spec.id] = number;
   caller_job& job = state.jobs[number];
@@ -431,8 +447,10 @@
 
 bool CancelJob(engine& state, const std::string& id, instant now) {
   state.cancelled[id] = now;
-  for (auto& [incarnation, one] : state.peers) {
-    SendTo(state, incarnation, job_cancel{.job = id});
+  for (const auto& [incarnation, one] : state.peers) {
+    if (one.contact) {
+      SendTo(state, incarnation, job_cancel{.job = id});
+    }
   }
   CancelPartsOfJob(state, id, now);
   const auto at = state.job_by_id.find(id);
--- a/packages/fleet/src/engine_cmd.cc
+++ b/packages/fleet/src/engine_cmd.cc
@@ -3,6 +3,7 @@
 #include <algorithm>
 
 #include "tarragondrift/fleet/caller_cmd.h"
+#include "tarragondrift/fleet/contact_cmd.h"
 #include "tarragondrift/fleet/part_cmd.h"
 #include "tarragondrift/fleet/peer_cmd.h"
 #include "tarragondrift/fleet/worker_cmd.h"
@@ -20,7 +21,7 @@
   engine state;
   state.options = options;
   state.self = self;
-  state.started = now;
+  state.listening_since = now;
   state.last_active = now;
   state.next_heartbeat = now;
   state.next_control = now;
@@ -28,7 +29,7 @@
 }
 
 bool ApplyConfig(engine& state, std::shared_ptr<const fleet_config> config,
-                 std::string text, instant now) {
+                 std::string text) {
   if (state.config && config->version <= state.config->version) {
     return false;
   }
@@ -41,14 +42,15 @@
   state.config = std::move(config);
   state.config_text = std::move(text);
   // Peers without access to the store learn of it from the next heartbeat.
-  state.next_heartbeat = now;
+  AnnounceChange(state, announcement::kToAllContacts);
   return true;
 }
 
 void BeginLeaving(engine& state, instant leave_by, instant now) {
   state.leaving = true;
   state.leave_by = leave_by;
-  state.next_heartbeat = now;
+  AnnounceChange(state, announcement::kToAllContacts);
+  state.next_contact_choice = now;
   state.next_control = now;
   log_line line("leaving");
   line.With("jobs", static_cast<int64_t>(state.jobs.size()))
@@ -87,11 +89,13 @@
   line.With("duration_ms", std::chrono::floor<milliseconds>(pause).count());
   AddLogLine(state, line, true);
   ResetAllPeers(state, "process_paused", now);
+  state.listening_since = now;
 }
 
 void Tick(engine& state, instant now) {
   if (now >= state.next_control) {
     state.next_control = now + kControlInterval;
+    UpdateContacts(state, now);
     ControlWorkers(state, now);
     std::erase_if(state.cancelled, [&](const auto& entry) {
       return now - entry.second > state.options.cancel_retention;
--- a/packages/fleet/src/ownership_cmd.cc
+++ b/packages/fleet/src/ownership_cmd.cc
@@ -32,36 +32,67 @@
   return (static_cast<double>(high) + 0.5) / kSteps;
 }
 
-}  // namespace
-
-std::vector<controller_candidate> ChooseControllers(
-    const std::vector<controller_candidate>& entries,
-    std::string_view data_centre, size_t workers) {
-  std::vector<controller_candidate> chosen;
-  std::copy_if(entries.begin(), entries.end(), std::back_inserter(chosen),
-               [data_centre](const controller_candidate& candidate) {
-                 return candidate.data_centre == data_centre;
-               });
-  if (chosen.empty()) {
-    chosen = entries;
-  }
+/// Sorts entries by the order in which they become controllers of a data
+/// centre's workers.
+void SortByRank(std::vector<controller_candidate>& entries,
+                std::string_view data_centre) {
+  const auto rank = [data_centre](const controller_candidate& one) {
+    return std::make_pair(one.worker_capacity, HashOf(data_centre, one.name));
+  };
   std::sort(
-      chosen.begin(), chosen.end(),
-      [data_centre](const controller_candidate& a,
-                    const controller_candidate& b) {
-        return std::make_pair(a.worker_capacity, HashOf(data_centre, a.name)) >
-               std::make_pair(b.worker_capacity, HashOf(data_centre, b.name));
+      entries.begin(), entries.end(),
+      [&rank](const controller_candidate& a, const controller_candidate& b) {
+        return rank(a) > rank(b);
       });
+}
+
+/// Returns how many of the first entries have the capacity for all workers.
+size_t CountNeeded(const std::vector<controller_candidate>& ranked,
+                   size_t workers) {
   size_t total_capacity = 0;
   const auto last_needed =
-      std::find_if(chosen.begin(), chosen.end(),
+      std::find_if(ranked.begin(), ranked.end(),
                    [&total_capacity, workers](const auto& candidate) {
                      total_capacity += candidate.worker_capacity;
                      return total_capacity >= workers;
                    });
-  if (last_needed != chosen.end()) {
-    chosen.erase(std::next(last_needed), chosen.end());
+  return last_needed == ranked.end()
+             ? ranked.size()
+             : static_cast<size_t>(last_needed - ranked.begin()) + 1;
+}
+
+std::vector<controller_candidate> LocalEntries(
+    const std::vector<controller_candidate>& entries,
+    std::string_view data_centre) {
+  std::vector<controller_candidate> local;
+  std::copy_if(entries.begin(), entries.end(), std::back_inserter(local),
+               [data_centre](const controller_candidate& candidate) {
+                 return candidate.data_centre == data_centre;
+               });
+  return local;
+}
+
+}  // namespace
+
+std::vector<controller_candidate> ChooseControllers(
+    const std::vector<controller_candidate>& entries,
+    std::string_view data_centre, size_t workers) {
+  std::vector<controller_candidate> chosen = LocalEntries(entries, data_centre);
+  if (chosen.empty()) {
+    chosen = entries;
   }
+  SortByRank(chosen, data_centre);
+  chosen.resize(CountNeeded(chosen, workers));
+  return chosen;
+}
+
+std::vector<controller_candidate> ChooseCandidates(
+    const std::vector<controller_candidate>& entries,
+    std::string_view data_centre, size_t workers, size_t standbys) {
+  std::vector<controller_candidate> chosen = LocalEntries(entries, data_centre);
+  SortByRank(chosen, data_centre);
+  chosen.resize(
+      std::min(chosen.size(), CountNeeded(chosen, workers) + standbys));
   return chosen;
 }
 
--- a/packages/fleet/src/part_cmd.cc
+++ b/packages/fleet/src/part_cmd.cc
@@ -241,17 +241,15 @@
   return found;
 }
 
-void CancelMatching(engine& state, instant now,
-                    const std::function<bool(const part&)>& matches) {
+std::vector<part_id> FindParts(
+    const engine& state, const std::function<bool(const part&)>& matches) {
   std::vector<part_id> found;
   state.parts.ForEach([&](part_id id, const part& one) {
     if (matches(one)) {
       found.push_back(id);
     }
   });
-  for (const part_id id : found) {
-    RemovePart(state, id, now);
-  }
+  return found;
 }
 
 /// Counts a failed run, and ejects a worker with too many consecutive ones: it
@@ -468,13 +466,17 @@
 }
 
 void CancelPartsFrom(engine& state, uint64_t origin, instant now) {
-  CancelMatching(state, now,
-                 [origin](const part& one) { return one.origin == origin; });
+  for (const part_id id : FindParts(
+           state, [origin](const part& one) { return one.origin == origin; })) {
+    RemovePart(state, id, now);
+  }
 }
 
 void CancelPartsOfJob(engine& state, const std::string& job, instant now) {
-  CancelMatching(state, now,
-                 [&job](const part& one) { return one.job.id == job; });
+  for (const part_id id : FindParts(
+           state, [&job](const part& one) { return one.job.id == job; })) {
+    EndPart(state, id, result_code::kCancelledAfterStart, now);
+  }
 }
 
 void EndRun(engine& state, worker& host, const run_name& name, run_end result,
--- a/packages/fleet/src/peer_cmd.cc
+++ b/packages/fleet/src/peer_cmd.cc
@@ -5,6 +5,7 @@
 #include <utility>
 
 #include "tarragondrift/fleet/caller_cmd.h"
+#include "tarragondrift/fleet/contact_cmd.h"
 #include "tarragondrift/fleet/engine_cmd.h"
 #include "tarragondrift/fleet/part_cmd.h"
 #include "tarragondrift/fleet/placement_cmd.h"
@@ -12,17 +13,25 @@
 namespace tarragondrift::fleet {
 namespace {
 
-heartbeat MakeHeartbeat(const engine& state) {
-  heartbeat own_heartbeat{
-      .from = state.self,
-      .leaving = state.leaving,
-      .config_version = state.config ? state.config->version : 0};
+std::vector<worker_claim> ListClaims(const engine& state) {
+  std::vector<worker_claim> claims;
   for (const auto& [id, one] : state.workers) {
     if (IsControlled(one)) {
-      own_heartbeat.claims.push_back({.worker = id, .fence = one.fence});
+      claims.push_back({.worker = id, .fence = one.fence});
     }
   }
-  return own_heartbeat;
+  return claims;
+}
+
+heartbeat MakeHeartbeat(const engine& state, const peer& to,
+                        const std::vector<worker_claim>& claims) {
+  return {.from = state.self,
+          .leaving = state.leaving,
+          .config_version = state.config ? state.config->version : 0,
+          .interval = HeartbeatInterval(state, to),
+          .requests_contact = to.wanted,
+          .is_candidate = state.candidate,
+          .claims = to.candidate ? claims : std::vector<worker_claim>{}};
 }
 
 void LogPeerEvent(engine& state, const char* event, const peer& one,
@@ -53,6 +62,7 @@
     return;
   }
   one.silent = true;
+  state.next_contact_choice = now;
   LogPeerEvent(state, "peer_silent", one, cause, now);
   ResetPeer(state, one, now);
 }
@@ -60,8 +70,16 @@
 void OnHeartbeat(engine& state, peer& one, const heartbeat& received,
                  instant now) {
   one.identity = received.from;
+  one.heartbeat_interval = received.interval;
+  one.announced_candidate = received.is_candidate;
+  one.candidate = one.candidate || received.is_candidate;
+  if (one.requests_contact != received.requests_contact) {
+    one.requests_contact = received.requests_contact;
+    state.next_contact_choice = now;
+  }
   if (one.leaving != received.leaving) {
     one.leaving = received.leaving;
+    state.next_contact_choice = now;
     LogPeerEvent(state, "peer_leaving", one, "announced", now);
   }
   one.claims.clear();
@@ -80,6 +98,21 @@
   }
 }
 
+/// Relays the cancellation of a job once, if this entry is in contact with
+/// controllers that the sender may not be in contact with.
+void RelayCancel(engine& state, uint64_t from, const job_cancel& cancel,
+                 instant now) {
+  const bool first = state.cancelled.insert_or_assign(cancel.job, now).second;
+  if (!first || !state.candidate || IsFullMesh(state)) {
+    return;
+  }
+  for (const auto& [incarnation, one] : state.peers) {
+    if (one.contact && incarnation != from) {
+      SendTo(state, incarnation, cancel);
+    }
+  }
+}
+
 /// Handles a message from a peer or from this entry itself. Configuration
 /// updates are handled by the process, which decodes them.
 void HandleMessage(engine& state, uint64_t from, const peer_message& message,
@@ -91,8 +124,8 @@
   } else if (const auto* result = std::get_if<part_result>(&message)) {
     OnPartResult(state, from, *result, now);
   } else if (const auto* job = std::get_if<job_cancel>(&message)) {
-    state.cancelled[job->job] = now;
     CancelPartsOfJob(state, job->job, now);
+    RelayCancel(state, from, *job, now);
   } else if (const auto* received = std::get_if<heartbeat>(&message)) {
     const auto at = state.peers.find(from);
     if (at != state.peers.end()) {
@@ -145,7 +178,12 @@
   const std::set<uint64_t> controllers = ControllersOf(state);
   const std::set<uint64_t> origins = OriginsOf(state);
   for (auto& [incarnation, one] : state.peers) {
-    one.keepalive_due = controllers.contains(incarnation) &&
+    if (!controllers.contains(incarnation)) {
+      one.holds_parts_since.reset();
+    } else if (!one.holds_parts_since) {
+      one.holds_parts_since = now;
+    }
+    one.keepalive_due = one.holds_parts_since &&
                         now - one.sent >= state.options.heartbeat_interval;
     if (!origins.contains(incarnation)) {
       one.origin_since.reset();
@@ -161,39 +199,106 @@
       now - std::max(one.last_heard, *one.origin_since) > limit) {
     return true;
   }
-  const milliseconds interval = HeartbeatInterval(state, !one.claims.empty());
+  // Keepalives to the controllers of own jobs are acknowledged.
+  if (one.holds_parts_since &&
+      now - std::max({one.last_heard, one.last_acknowledged,
+                      *one.holds_parts_since}) >
+          limit) {
+    return true;
+  }
+  const milliseconds interval =
+      std::max(one.heartbeat_interval, state.options.heartbeat_interval);
   return now - one.last_heard >
          limit + 2 * (interval - state.options.heartbeat_interval);
 }
 
-bool ControlsAnyWorker(const engine& state) {
-  return std::any_of(
-      state.workers.begin(), state.workers.end(),
-      [](const auto& entry) { return IsControlled(entry.second); });
+/// Marks peers as silent from which no message came for too long. A peer that
+/// is not a contact was not asked for any.
+void DetectSilence(engine& state, instant now) {
+  for (auto& [incarnation, one] : state.peers) {
+    if (one.silent || !IsSilenceLimitExceeded(state, one, now)) {
+      continue;
+    }
+    if (one.contact) {
+      MarkSilent(state, one, "no_heartbeat", now);
+    } else if (!one.in_flight) {
+      DropContact(one);
+    }
+  }
 }
 
-}  // namespace
+/// Whether a peer has been silent for so long that it is taken to be gone.
+bool IsRetired(const engine& state, const peer& one, instant now) {
+  const instant last = one.ever_heard ? one.last_heard : one.contact_since;
+  return one.silent && one.contact && now - last >= state.options.forget_after;
+}
 
-milliseconds HeartbeatInterval(const engine& state, bool controls_workers) {
-  const auto peers = static_cast<int64_t>(state.peers.size());
-  const auto base = static_cast<int64_t>(state.options.peers_at_base_interval);
-  const milliseconds interval = state.options.heartbeat_interval;
-  if (peers <= base) {
-    return interval;
+/// Whether a peer can be forgotten. A peer that is listed may be behind a
+/// network partition, however long it has been silent.
+bool IsForgettable(const engine& state, const peer& one, instant now) {
+  return one.silent && !one.in_flight && !one.listed &&
+         (!one.contact || one.withdrawn || IsRetired(state, one, now));
+}
+
+bool IsHeartbeatDue(const engine& state, const peer& one, instant now) {
+  if (!one.contact) {
+    return false;
+  }
+  if (IsRetired(state, one, now)) {
+    return now - one.sent >= state.options.retired_interval;
   }
-  return interval * peers / base *
-         (controls_workers ? 1 : state.options.idle_heartbeat_factor);
+  // A lost heartbeat may have announced a change.
+  return one.heartbeat_due ||
+         now - one.sent >= (one.heartbeat_lost
+                                ? state.options.heartbeat_interval
+                                : HeartbeatInterval(state, one));
 }
 
-bool IsUsable(const peer& one) { return !one.silent && !one.leaving; }
+void QueueHeartbeat(const engine& state, peer& one,
+                    const std::vector<worker_claim>& claims) {
+  one.heartbeat_due = false;
+  one.heartbeat_lost = false;
+  one.announced_wanted = one.wanted;
+  heartbeat latest = MakeHeartbeat(state, one, claims);
+  if (one.outbox.empty() || !std::holds_alternative<heartbeat>(one.outbox[0])) {
+    one.outbox.insert(one.outbox.begin(), std::move(latest));
+  } else {
+    one.outbox[0] = std::move(latest);
+  }
+}
 
-void ResetAllPeers(engine& state, const char* cause, instant now) {
+/// Queues the heartbeats that are due. In a full mesh all are sent at the same
+/// time; else each contact has its own, postponed by other envelopes to it.
+void QueueHeartbeats(engine& state, instant now) {
+  const bool full_mesh = IsFullMesh(state);
+  if (full_mesh && now < state.next_heartbeat) {
+    return;
+  }
+  const bool announces =
+      state.announce != announcement::kNone &&
+      now - state.last_heartbeat >= state.options.min_heartbeat_interval;
+  std::optional<std::vector<worker_claim>> claims;
   for (auto& [incarnation, one] : state.peers) {
-    MarkSilent(state, one, cause, now);
+    const bool concerned =
+        state.announce == announcement::kToAllContacts || one.candidate;
+    const bool at_once = one.contact && !IsRetired(state, one, now) &&
+                         (full_mesh || (announces && concerned));
+    if (at_once || IsHeartbeatDue(state, one, now)) {
+      if (!claims) {
+        claims = ListClaims(state);
+      }
+      QueueHeartbeat(state, one, *claims);
+    }
+  }
+  if (full_mesh || announces) {
+    state.last_heartbeat = now;
+    state.announce = announcement::kNone;
+    state.next_heartbeat = now + state.options.heartbeat_interval;
   }
 }
 
-void AddPeer(engine& state, const entry_identity& identity, instant now) {
+/// Adds an entry or updates its identity.
+void MeetPeer(engine& state, const entry_identity& identity, instant now) {
   if (identity.incarnation == state.self.incarnation ||
       identity.name == state.self.name) {
     return;
@@ -202,8 +307,10 @@
   auto [at, added] = state.peers.try_emplace(identity.incarnation);
   at->second.identity = identity;
   if (added) {
-    at->second.discovered = now;
-    state.next_heartbeat = now;
+    state.next_contact_choice = now;
+    if (IsFullMesh(state)) {
+      state.next_heartbeat = now;
+    }
     log_line line("peer_found");
     line.With("peer", identity.name)
         .With("address", identity.address)
@@ -212,10 +319,36 @@
   }
 }
 
+}  // namespace
+
+void AnnounceChange(engine& state, announcement to) {
+  state.announce = std::max(state.announce, to);
+  state.next_heartbeat = instant{};
+}
+
+bool IsUsable(const peer& one) { return !one.silent && !one.leaving; }
+
+void ResetAllPeers(engine& state, const char* cause, instant now) {
+  for (auto& [incarnation, one] : state.peers) {
+    MarkSilent(state, one, cause, now);
+  }
+}
+
+void AddPeer(engine& state, const entry_identity& identity, instant now) {
+  MeetPeer(state, identity, now);
+  const auto at = state.peers.find(identity.incarnation);
+  if (at != state.peers.end()) {
+    at->second.listed = true;
+    at->second.withdrawn = false;
+  }
+}
+
 void RemovePeerRow(engine& state, const std::string& name, instant now) {
   for (auto& [incarnation, one] : state.peers) {
-    if (one.identity.name == name && !one.ever_heard) {
-      one.discovered = now - state.options.forget_after;
+    if (one.identity.name == name) {
+      one.listed = false;
+      one.withdrawn = true;
+      state.next_contact_choice = now;
     }
   }
 }
@@ -227,7 +360,7 @@
   if (!state.peers.contains(received.from)) {
     for (const peer_message& message : received.messages) {
       if (const auto* first = std::get_if<heartbeat>(&message)) {
-        AddPeer(state, first->from, now);
+        MeetPeer(state, first->from, now);
       }
     }
   }
@@ -244,11 +377,17 @@
   if (one.silent) {
     LogPeerEvent(state, "peer_heard", one, "message", now);
     one.silent = false;
+    state.next_contact_choice = now;
+  }
+  if (!one.ever_heard || one.stream_in != received.stream) {
+    // Offers count only when the peer has seen this entry's stream.
+    one.heartbeat_due = true;
   }
   one.ever_heard = true;
   one.last_heard = now;
   one.stream_in = received.stream;
   one.load = received.load;
+  one.load_received = now;
   const bool stream_matches = received.heard_stream == one.stream_out;
   for (const peer_message& message : received.messages) {
     if (stream_matches || !std::holds_alternative<part_offer>(message)) {
@@ -266,13 +405,19 @@
   }
   peer& one = at->second;
   one.in_flight = false;
-  if (outcome == delivery::kOtherProcess) {
+  if (outcome == delivery::kDelivered) {
+    one.last_acknowledged = now;
+  } else if (outcome == delivery::kOtherProcess) {
     MarkSilent(state, one, "other_process", now);
     one.claims.clear();
+    one.ever_heard = true;
     one.last_heard = now - state.options.forget_after;
-  } else if (outcome == delivery::kLost && one.in_flight_has_content) {
-    LogPeerEvent(state, "peer_delivery_lost", one, "no_answer", now);
-    ResetPeer(state, one, now);
+  } else if (outcome == delivery::kLost) {
+    one.heartbeat_lost = true;
+    if (one.in_flight_has_content) {
+      LogPeerEvent(state, "peer_delivery_lost", one, "no_answer", now);
+      ResetPeer(state, one, now);
+    }
   }
 }
 
@@ -289,36 +434,11 @@
 
 void TickPeers(engine& state, instant now) {
   UpdateKeepalives(state, now);
-  for (auto& [incarnation, one] : state.peers) {
-    if (!one.silent && IsSilenceLimitExceeded(state, one, now)) {
-      MarkSilent(state, one, "no_heartbeat", now);
-    }
-  }
+  DetectSilence(state, now);
   std::erase_if(state.peers, [&](const auto& entry) {
-    const peer& one = entry.second;
-    const instant last = one.ever_heard ? one.last_heard : one.discovered;
-    return one.silent && !one.in_flight &&
-           now - last >= state.options.forget_after;
+    return IsForgettable(state, entry.second, now);
   });
-  const bool above_base_peers =
-      state.peers.size() > state.options.peers_at_base_interval;
-  if (now < state.next_heartbeat ||
-      (above_base_peers &&
-       now - state.last_heartbeat < state.options.min_heartbeat_interval)) {
-    return;
-  }
-  state.last_heartbeat = now;
-  state.next_heartbeat =
-      now + HeartbeatInterval(state, ControlsAnyWorker(state));
-  const heartbeat latest_heartbeat = MakeHeartbeat(state);
-  for (auto& [incarnation, one] : state.peers) {
-    if (one.outbox.empty() ||
-        !std::holds_alternative<heartbeat>(one.outbox[0])) {
-      one.outbox.insert(one.outbox.begin(), latest_heartbeat);
-    } else {
-      one.outbox[0] = latest_heartbeat;
-    }
-  }
+  QueueHeartbeats(state, now);
 }
 
 void FlushPeers(engine& state, instant now) {
--- a/packages/fleet/src/worker_cmd.cc
+++ b/packages/fleet/src/worker_cmd.cc
@@ -5,6 +5,7 @@
 #include <set>
 #include <utility>
 
+#include "tarragondrift/fleet/contact_cmd.h"
 #include "tarragondrift/fleet/engine_cmd.h"
 #include "tarragondrift/fleet/lease_cmd.h"
 #include "tarragondrift/fleet/ownership_cmd.h"
@@ -25,9 +26,6 @@
 /// seen. Each rejection doubles the number of generations that the next attempt
 /// skips, at most this many times.
 constexpr uint32_t kMaxFenceStepDoublings = 16;
-/// How long to wait for the first message of a listed entry, which may still be
-/// starting.
-constexpr milliseconds kFirstMessageTimeout{1'500};
 
 /// Returns a fence above the highest known one that no other entry can choose.
 uint64_t NextFence(const engine& state, const worker& one) {
@@ -90,8 +88,7 @@
 void SetPhase(engine& state, worker& one, control_phase phase,
               const char* event, const char* cause) {
   one.phase = phase;
-  // Peers learn of a change of control from an immediate heartbeat.
-  state.next_heartbeat = instant{};
+  AnnounceChange(state, announcement::kToCandidates);
   log_line line(event);
   line.With("worker", one.listing.id)
       .With("fence", static_cast<int64_t>(one.fence))
@@ -144,43 +141,32 @@
       });
 }
 
-/// Whether this entry has listened long enough to know which peers are live.
+/// Whether this entry has listened long enough to know which candidates are
+/// live and what they control.
 bool HasDiscoveredPeers(const engine& state, instant now) {
-  const bool all_peers_heard =
-      state.peers_listed && !state.peers.empty() &&
-      std::all_of(state.peers.begin(), state.peers.end(),
-                  [](const auto& entry) { return entry.second.ever_heard; });
-  const milliseconds discovery_wait = all_peers_heard
-                                          ? state.options.short_startup_wait
-                                          : state.options.startup_wait;
-  if (now - state.started < discovery_wait) {
-    return false;
-  }
-  return std::all_of(
-      state.peers.begin(), state.peers.end(), [now](const auto& entry) {
-        return entry.second.ever_heard ||
-               now - entry.second.discovered >= kFirstMessageTimeout;
-      });
-}
-
-controller_candidate MakeCandidate(const engine& state,
-                                   const entry_identity& entry) {
-  constexpr uint32_t kMilliPerCore = 1'000;
-  return {.incarnation = entry.incarnation,
-          .name = entry.name,
-          .data_centre = entry.data_centre,
-          .worker_capacity =
-              std::max(1U, entry.cpu_milli * state.options.workers_per_core /
-                               kMilliPerCore)};
+  const instant since = std::max(state.listening_since, state.candidate_since);
+  bool all_heard = state.peers_listed && !state.peers.empty();
+  bool any_awaited = false;
+  for (const auto& [incarnation, one] : state.peers) {
+    if (one.contact && one.candidate) {
+      all_heard = all_heard && one.ever_heard && one.last_heard >= since;
+      any_awaited = any_awaited || (!one.ever_heard &&
+                                    now - one.contact_since <
+                                        state.options.first_message_timeout);
+    }
+  }
+  const milliseconds discovery_wait =
+      all_heard ? state.options.short_startup_wait : state.options.startup_wait;
+  return !any_awaited && now - since >= discovery_wait;
 }
 
 std::vector<controller_candidate> ListCandidates(const engine& state) {
   std::vector<controller_candidate> found;
-  if (!state.leaving) {
+  if (!state.leaving && state.candidate) {
     found.push_back(MakeCandidate(state, state.self));
   }
   for (const auto& [incarnation, one] : state.peers) {
-    if (IsUsable(one)) {
+    if (IsUsable(one) && one.candidate) {
       found.push_back(MakeCandidate(state, one.identity));
     }
   }
@@ -195,6 +181,17 @@
   SendPoll(state, one, milliseconds{0}, now);
 }
 
+/// Returns the longest interval of heartbeats from other candidates.
+milliseconds LongestCandidateInterval(const engine& state) {
+  milliseconds longest = state.options.heartbeat_interval;
+  for (const auto& [incarnation, one] : state.peers) {
+    if (one.candidate) {
+      longest = std::max(longest, one.heartbeat_interval);
+    }
+  }
+  return longest;
+}
+
 /// Handles the result of a probe. A worker that is reachable again may have a
 /// controller behind a network partition that has just healed, so the next
 /// attempt to acquire it waits for that controller's heartbeats.
@@ -202,7 +199,7 @@
   one.phase = control_phase::kNotControlled;
   one.acquire_unanswered = !reached;
   const milliseconds partition_heal_wait = state.options.partition_heal_wait +
-                                           HeartbeatInterval(state, true) -
+                                           LongestCandidateInterval(state) -
                                            state.options.heartbeat_interval;
   one.retry =
       now + (reached ? partition_heal_wait : state.options.unanswered_backoff);
@@ -651,7 +648,8 @@
 }
 
 void ControlWorkers(engine& state, instant now) {
-  if (!HasDiscoveredPeers(state, now)) {
+  if (!state.workers_listed || !NeedsWorkerList(state) ||
+      !HasDiscoveredPeers(state, now)) {
     return;
   }
   const std::vector<controller_candidate> candidates = ListCandidates(state);
--- a/packages/fleet/test/control_test.cc
+++ b/packages/fleet/test/control_test.cc
@@ -37,7 +37,7 @@
                                              .stretch = 1.6,
                                              .objective = 100ms,
                                              .timeout = 1'500ms}}}),
-                "", now);
+                "");
     UpdateWorkerListing(state, listing, now);
   }
 
--- a/packages/link/src/fleet_codec.cc
+++ b/packages/link/src/fleet_codec.cc
@@ -113,6 +113,9 @@
   to.set_cpu_milli(from.from.cpu_milli);
   to.set_leaving(from.leaving);
   to.set_config_version(from.config_version);
+  to.set_interval_ms(from.interval.count());
+  to.set_requests_contact(from.requests_contact);
+  to.set_is_candidate(from.is_candidate);
   for (const fleet::worker_claim& claim : from.claims) {
     wire::FleetClaim& added = *to.add_claims();
     added.set_worker(claim.worker);
@@ -127,7 +130,10 @@
                                     .data_centre = from.data_centre(),
                                     .cpu_milli = from.cpu_milli()},
                            .leaving = from.leaving(),
-                           .config_version = from.config_version()};
+                           .config_version = from.config_version(),
+                           .interval = milliseconds(from.interval_ms()),
+                           .requests_contact = from.requests_contact(),
+                           .is_candidate = from.is_candidate()};
   for (const wire::FleetClaim& claim : from.claims()) {
     decoded.claims.push_back(
         {.worker = claim.worker(), .fence = claim.fence()});
