fleet: hold jobs for a moment after a start instead of refusing them

Ruled out: readiness (callers came in at once), leases (all had ended).

Change: peers that a later process replaced are ignored; requests wait for the first configuration, and jobs for capacity, at most 2 s after the start of the process and while an answer is still useful (admission_cmd; at most 200 jobs); 16 counters of incarnations chosen by the instance's name; a task is taken to need half of a worker until one was placed. SubmitJob is parted into planning (admission_cmd) and registering.

Checks changed: the test of refusal while earlier runs end sets startup_hold to 0, since its entry is 1.5 s old.

--- a/packages/daemon/src/entry_rows.cc
+++ b/packages/daemon/src/entry_rows.cc
@@ -6,6 +6,7 @@
 
 #include "logging.h"
 #include "platform/json_fields.h"
+#include "tarragondrift/core/fnv_hash.h"
 
 namespace tarragondrift {
 namespace {
@@ -14,10 +15,19 @@
 using nlohmann::json;
 
 constexpr const char* kCounterTable = "tarragondrift-counters";
-constexpr const char* kCounterKey = "incarnation";
+/// Number of counters. An incarnation number is a count times this number, plus
+/// the number of the counter.
+constexpr uint64_t kCounters = 16;
+/// First count, so that numbers are above those of the single counter that
+/// earlier versions used.
+constexpr uint64_t kFirstCount = uint64_t{1} << 20U;
 /// Delay between attempts; entries that start at the same time conflict when
-/// they increment the counter.
-constexpr std::chrono::milliseconds kRetryDelay{100};
+/// they increment the same counter.
+constexpr std::chrono::milliseconds kRetryDelay{40};
+
+std::string CounterKey(uint64_t counter) {
+  return "incarnation-" + std::to_string(counter);
+}
 
 }  // namespace
 
@@ -49,9 +59,12 @@
                                .cpu_milli = static_cast<uint32_t>(*cpu_milli)};
 }
 
-entry_rows::entry_rows(const std::unique_ptr<fleet::row_port>& rows,
+entry_rows::entry_rows(const std::string& instance,
+                       const std::unique_ptr<fleet::row_port>& rows,
                        run_on_owner run)
-    : rows_(rows), run_(std::move(run)) {}
+    : counter_(AddToFnv(kFnvOffset, instance) % kCounters),
+      rows_(rows),
+      run_(std::move(run)) {}
 
 void entry_rows::Tick(instant now) {
   if (in_flight_ || now < next_) {
@@ -67,7 +80,7 @@
 }
 
 void entry_rows::ReadCounter() {
-  rows_->Read(kCounterTable, kCounterKey,
+  rows_->Read(kCounterTable, CounterKey(counter_),
               [this](const fleet::versioned_row& row) {
                 run_([this, row](instant now) {
                   if (row.outcome == row_outcome::kOk) {
@@ -80,18 +93,18 @@
 }
 
 void entry_rows::IncrementCounter(const fleet::versioned_row& row) {
-  uint64_t last = 0;
+  uint64_t last = kFirstCount;
   std::from_chars(row.value.data(), row.value.data() + row.value.size(), last);
   const uint64_t next = last + 1;
   rows_->Write({.table = kCounterTable,
-                .key = kCounterKey,
+                .key = CounterKey(counter_),
                 .value = std::to_string(next),
                 .expected = row.version},
                [this, next](row_outcome outcome) {
                  run_([this, next, outcome](instant now) {
                    if (outcome == row_outcome::kOk) {
                      in_flight_ = false;
-                     incarnation_ = next;
+                     incarnation_ = next * kCounters + counter_;
                    } else {
                      // A write with an unknown outcome at most leaves a number
                      // unused.
--- a/packages/daemon/src/entry_rows.h
+++ b/packages/daemon/src/entry_rows.h
@@ -26,11 +26,14 @@
 std::optional<fleet::entry_identity> ParseEntryRow(const std::string& name,
                                                    const std::string& text);
 
-/// Allocates an incarnation number from the store's counter and keeps this
+/// Allocates an incarnation number from a counter in the store and keeps this
 /// entry's row up to date. Not thread-safe.
 class entry_rows {
  public:
-  entry_rows(const std::unique_ptr<fleet::row_port>& rows, run_on_owner run);
+  /// @param instance name of the instance; it selects one of several counters,
+  ///   so that entries that start at the same time rarely conflict.
+  entry_rows(const std::string& instance,
+             const std::unique_ptr<fleet::row_port>& rows, run_on_owner run);
 
   /// Starts the next request to the store, unless one is in flight or none is
   /// due.
@@ -54,6 +57,7 @@
   void WriteRow();
   void Pause(instant now);
 
+  uint64_t counter_;
   const std::unique_ptr<fleet::row_port>& rows_;
   run_on_owner run_;
   std::optional<uint64_t> incarnation_;
--- a/packages/daemon/src/fleet_process.cc
+++ b/packages/daemon/src/fleet_process.cc
@@ -114,7 +114,7 @@
                                       *http_);
   rows_ = platform::MakeStorePort({.address = settings_.store}, *http_);
   own_rows_ = std::make_unique<entry_rows>(
-      rows_, [this](step work) { Post(std::move(work)); });
+      settings_.instance, rows_, [this](step work) { Post(std::move(work)); });
   MakeFollowers();
 
   const std::string peers =
@@ -205,6 +205,7 @@
 
 void fleet_process::Loop() {
   next_tick_ = Now();
+  engine_.started = next_tick_;
   while (!mailbox_.Closed()) {
     const std::vector<step> work = mailbox_.TakeUntil(ToSteady(next_tick_));
     const instant now = Now();
@@ -234,7 +235,9 @@
   worker_follower_->Tick(now);
   entry_follower_->Tick(now);
   CheckSettingsFile(now);
+  AnswerEarlyRequests(now);
   if (joined_.load() == 0) {
+    fleet::RetryHeldJobs(engine_, now);
     JoinOnceNumbered(now);
     return;
   }
@@ -279,6 +282,17 @@
       .With("data_centre", self.data_centre);
 }
 
+void fleet_process::AnswerEarlyRequests(instant now) {
+  if (now - engine_.started >= engine_.options.startup_hold) {
+    accepts_early_requests_.store(false);
+  } else if (config_.load() == nullptr) {
+    return;
+  }
+  for (const held_request& request : std::exchange(early_requests_, {})) {
+    OnRequest(request);
+  }
+}
+
 void fleet_process::RemoveDisconnectedCallers(instant now) {
   if (now < next_disconnect_check_) {
     return;
--- a/packages/daemon/src/fleet_process.h
+++ b/packages/daemon/src/fleet_process.h
@@ -12,6 +12,7 @@
 #include <string>
 #include <thread>
 #include <unordered_map>
+#include <vector>
 
 #include "entry_rows.h"
 #include "fleet_metrics.h"
@@ -61,6 +62,7 @@
   void TickAll(instant now);
   void JoinOnceNumbered(instant now);
   void MakeFollowers();
+  void AnswerEarlyRequests(instant now);
   void RemoveDisconnectedCallers(instant now);
   void CheckSettingsFile(instant now);
   void ApplySettings(const std::string& cause);
@@ -95,6 +97,9 @@
   /// Read by the thread of the callers' server without a lock.
   std::atomic<std::shared_ptr<const fleet::fleet_config>> config_;
 
+  /// Requests that arrived before the first configuration.
+  std::vector<held_request> early_requests_;
+  std::atomic<bool> accepts_early_requests_{true};
   /// Arrival times of the waiting requests, by request number.
   std::unordered_map<uint64_t, instant> arrivals_;
   std::optional<instant> stop_started_;
--- a/packages/daemon/src/fleet_process_io.cc
+++ b/packages/daemon/src/fleet_process_io.cc
@@ -40,7 +40,11 @@
                                                       : milliseconds{0}));
   };
   const std::shared_ptr<const fleet::fleet_config> config = config_.load();
-  if (config == nullptr || joined_.load() == 0) {
+  if (config == nullptr && accepts_early_requests_.load()) {
+    Post([this, request](instant) { early_requests_.push_back(request); });
+    return;
+  }
+  if (config == nullptr) {
     refuse(result_code::kNotRunNoConfig);
     return;
   }
--- /dev/null
+++ b/packages/fleet/include/tarragondrift/fleet/admission_cmd.h
@@ -0,0 +1,52 @@
+// Admission of jobs: whether a job can be served in time, and where.
+#ifndef TARRAGONDRIFT_FLEET_ADMISSION_CMD_H_
+#define TARRAGONDRIFT_FLEET_ADMISSION_CMD_H_
+
+#include <chrono>
+#include <cstdint>
+#include <string>
+#include <vector>
+
+#include "tarragondrift/fleet/engine_base.h"
+#include "tarragondrift/fleet/spread_cmd.h"
+
+namespace tarragondrift::fleet {
+
+/// How a job would be served, or why it would not be.
+struct job_plan {
+  /// kOk if the job can be served.
+  result_code refusal = result_code::kOk;
+  /// Predicted wait of its last task.
+  std::chrono::microseconds wait{0};
+  /// The job is of no use if it is not started before this time.
+  instant useful_until;
+
+  instant arrived;
+  instant objective;
+  instant deadline;
+  uint32_t tasks = 0;
+  std::chrono::milliseconds critical_path{0};
+  /// Age of the oldest load report that the plan relies on.
+  std::chrono::milliseconds load_age{0};
+  std::vector<job_part> parts;
+};
+
+/// Plans a job that arrived at `arrived` and would be offered now. Under
+/// overload it is refused unless its last task can start early enough for the
+/// objective; a job whose objective has passed needs capacity that is free now.
+job_plan PlanJob(const engine& state, const job_arrival& arrival,
+                 instant arrived, instant now);
+
+/// Returns the expected running time of the longest chain of dependent steps.
+std::chrono::milliseconds ExpectedCriticalPath(const engine& state,
+                                               const std::string& queue,
+                                               const job_spec& job);
+
+/// Returns the usable controllers that have workers of an upstream.
+std::vector<spread_candidate> FindControllers(const engine& state,
+                                              const std::string& upstream,
+                                              instant now);
+
+}  // namespace tarragondrift::fleet
+
+#endif  // TARRAGONDRIFT_FLEET_ADMISSION_CMD_H_
--- a/packages/fleet/include/tarragondrift/fleet/caller_cmd.h
+++ b/packages/fleet/include/tarragondrift/fleet/caller_cmd.h
@@ -10,19 +10,14 @@
 
 namespace tarragondrift::fleet {
 
-/// A job as it arrives from a caller.
-struct job_arrival {
-  /// Number of the caller's request, returned with the answer.
-  uint64_t request = 0;
-  std::string queue;
-  job_spec spec;
-  /// Timeout given by the caller; 0 if it gave none.
-  std::chrono::milliseconds caller_timeout{0};
-};
-
-/// Accepts a job and offers its parts to controllers, or refuses it at once.
+/// Accepts a job and offers its parts to controllers, or refuses it at once. An
+/// entry that has just started holds jobs until it knows of capacity.
 void SubmitJob(engine& state, job_arrival arrival, instant now);
 
+/// Accepts the held jobs that have become possible, and refuses those that are
+/// of no use any more.
+void RetryHeldJobs(engine& state, instant now);
+
 /// Cancels the job of a caller that has disconnected.
 void CallerLeft(engine& state, uint64_t request, instant now);
 
--- a/packages/fleet/include/tarragondrift/fleet/engine_base.h
+++ b/packages/fleet/include/tarragondrift/fleet/engine_base.h
@@ -111,6 +111,22 @@
   instant failed_at;
 };
 
+/// A job as it arrives from a caller.
+struct job_arrival {
+  /// Number of the caller's request, returned with the answer.
+  uint64_t request = 0;
+  std::string queue;
+  job_spec spec;
+  /// Timeout given by the caller; 0 if it gave none.
+  std::chrono::milliseconds caller_timeout{0};
+};
+
+/// A job that waits for the entry to know of capacity.
+struct held_job {
+  job_arrival arrival;
+  instant arrived;
+};
+
 /// Sort key of a queued task; lower keys are placed first.
 struct queue_key {
   /// Tasks that can be on time go before tasks that are late anyway.
@@ -151,6 +167,8 @@
 struct engine {
   fleet_options options;
   entry_identity self;
+  /// When the process started.
+  instant started;
   /// Since when this entry has been listening for peers without interruption:
   /// since its start or the last pause of its process.
   instant listening_since;
@@ -189,6 +207,8 @@
 
   /// Jobs submitted to this entry whose callers wait for the answer.
   std::map<uint64_t, caller_job> jobs;
+  /// Jobs that arrived before this entry knew of any capacity, by request.
+  std::map<uint64_t, held_job> held_jobs;
   uint64_t last_job = 0;
   std::unordered_map<std::string, uint64_t> job_by_id;
   std::map<std::string, instant> cancelled;
--- a/packages/fleet/include/tarragondrift/fleet/fleet_options_base.h
+++ b/packages/fleet/include/tarragondrift/fleet/fleet_options_base.h
@@ -92,6 +92,12 @@
   /// How long an entry listens after its start, or after a pause of its
   /// process, before it acquires workers.
   milliseconds startup_wait{1'000};
+  /// How long after its start an entry holds jobs that it has no capacity for:
+  /// after a power failure of all entries, workers are acquired within a
+  /// second.
+  milliseconds startup_hold{2'000};
+  /// Jobs held at a time while starting.
+  size_t max_held_jobs = 200;
   /// How long to wait for the first message of a contact, which may still be
   /// starting.
   milliseconds first_message_timeout{1'500};
--- a/packages/fleet/include/tarragondrift/fleet/job_base.h
+++ b/packages/fleet/include/tarragondrift/fleet/job_base.h
@@ -15,6 +15,10 @@
 
 namespace tarragondrift::fleet {
 
+/// An answer is still useful until this multiple of the time from the arrival
+/// to the objective.
+inline constexpr int kMaxLatenessFactor = 3;
+
 /// Tasks of one kind within a job.
 struct step_spec {
   uint32_t count = 0;
--- a/packages/fleet/include/tarragondrift/fleet/peer_base.h
+++ b/packages/fleet/include/tarragondrift/fleet/peer_base.h
@@ -128,6 +128,8 @@
   bool listed = false;
   /// Its row was removed.
   bool withdrawn = false;
+  /// A later process of the same instance is known.
+  bool superseded = false;
   /// Heartbeats are exchanged with it; see contact_cmd.h.
   bool contact = false;
   /// When it became a contact; valid only while it is one.
--- /dev/null
+++ b/packages/fleet/src/admission_cmd.cc
@@ -0,0 +1,242 @@
+#include "tarragondrift/fleet/admission_cmd.h"
+
+#include <algorithm>
+
+#include "tarragondrift/fleet/peer_cmd.h"
+#include "tarragondrift/fleet/placement_cmd.h"
+#include "tarragondrift/fleet/runtime_base.h"
+
+namespace tarragondrift::fleet {
+namespace {
+
+using std::chrono::microseconds;
+
+/// Added to the predicted wait at another entry: the round trip to another data
+/// centre, or the hop to another entry of the same one.
+constexpr microseconds kRemoteDataCentrePenalty = milliseconds(4);
+constexpr microseconds kRemoteEntryPenalty = milliseconds(2);
+/// Part of the caller's timeout reserved for sending the answer.
+constexpr milliseconds kAnswerMargin{20};
+/// A job is refused at once if its timeout is below this share of the expected
+/// running time; declared times are off by up to 40%.
+constexpr double kMinTimeoutShare = 0.6;
+
+uint32_t CountTasks(const job_spec& job) {
+  uint32_t tasks = 0;
+  for (const step_spec& step : job.steps) {
+    tasks += step.count;
+  }
+  return tasks;
+}
+
+/// Returns the age of the oldest load report that the spread relied on.
+milliseconds OldestLoadAge(const engine& state,
+                           const std::vector<spread_candidate>& candidates,
+                           instant now) {
+  milliseconds oldest{0};
+  for (const spread_candidate& candidate : candidates) {
+    const auto at = state.peers.find(candidate.controller);
+    if (candidate.assigned > 0 && at != state.peers.end()) {
+      oldest = std::max(oldest, std::chrono::floor<milliseconds>(
+                                    now - at->second.load_received));
+    }
+  }
+  return oldest;
+}
+
+spread_request MakeSpreadRequest(uint32_t tasks, microseconds slack,
+                                 microseconds critical_path,
+                                 double allowed_slowness) {
+  spread_request request{.tasks = tasks, .slack = slack};
+  if (allowed_slowness < 1) {
+    request.not_fast_cost = std::chrono::duration_cast<microseconds>(
+        critical_path * (1 - kFastBelow));
+  }
+  if (allowed_slowness < kSlowAbove) {
+    request.slow_cost = std::chrono::duration_cast<microseconds>(
+                            critical_path * (kSlowAbove - 1)) +
+                        request.not_fast_cost;
+  }
+  return request;
+}
+
+/// Splits the tasks of a job into one part per assigned controller.
+std::vector<job_part> MakeParts(
+    const std::vector<spread_candidate>& candidates) {
+  std::vector<job_part> parts;
+  uint32_t first = 0;
+  for (const spread_candidate& candidate : candidates) {
+    if (candidate.assigned > 0) {
+      parts.push_back({.controller = candidate.controller,
+                       .first = first,
+                       .count = candidate.assigned});
+      first += candidate.assigned;
+    }
+  }
+  return parts;
+}
+
+/// Assigns all tasks of a multi-step job to the controller that the spread gave
+/// the most tasks.
+void AssignWhole(std::vector<spread_candidate>& candidates, uint32_t tasks) {
+  auto largest = std::max_element(
+      candidates.begin(), candidates.end(),
+      [](const spread_candidate& a, const spread_candidate& b) {
+        return a.assigned < b.assigned;
+      });
+  for (spread_candidate& candidate : candidates) {
+    candidate.assigned = 0;
+  }
+  largest->assigned = tasks;
+}
+
+/// Returns the timeout given by the caller, which knows best how long an answer
+/// is of use to it, capped at max_caller_timeout. A caller that gave none gets
+/// the queue's timeout, uncapped, or max_caller_timeout if the queue has none
+/// either.
+milliseconds CallerTimeout(const engine& state, const job_arrival& arrival,
+                           const queue_config& queue) {
+  if (arrival.caller_timeout.count() > 0) {
+    return std::min(arrival.caller_timeout, state.options.max_caller_timeout);
+  }
+  return queue.timeout.count() > 0 ? queue.timeout
+                                   : state.options.max_caller_timeout;
+}
+
+/// Returns a refusal that does not depend on the load, or kOk.
+result_code CheckRequest(const engine& state, const job_arrival& arrival,
+                         uint32_t tasks) {
+  if (state.cancelled.contains(arrival.spec.id)) {
+    return result_code::kNotRunCancelled;
+  }
+  if (state.jobs.size() >= state.options.max_jobs ||
+      tasks > state.options.max_tasks) {
+    return result_code::kNotRunOverloaded;
+  }
+  return result_code::kOk;
+}
+
+/// Whether a planned stop leaves enough time for a job. It must cover the upper
+/// bound of the running time, which one task in 40 exceeds.
+bool FitsDrain(const engine& state, milliseconds critical_path,
+               const runtime_estimate& runtime, instant now) {
+  return !state.leaving ||
+         now + critical_path - runtime.median + runtime.upper <= state.leave_by;
+}
+
+/// Chooses the controllers of a plan whose times are known.
+void PlanParts(const engine& state, const job_arrival& arrival,
+               const queue_config& queue, const runtime_estimate& runtime,
+               instant now, job_plan& plan) {
+  auto candidates = FindControllers(state, queue.upstream, now);
+  if (candidates.empty()) {
+    plan.refusal = result_code::kNotRunNoInstance;
+    return;
+  }
+  const auto objective_left =
+      std::chrono::floor<microseconds>(plan.objective - now);
+  const microseconds slack = std::max<microseconds>(
+      objective_left - plan.critical_path, microseconds{0});
+  const double allowed_slowness =
+      AllowedSlowness(runtime, objective_left, plan.deadline - now);
+  plan.wait = SpreadTasks(
+      candidates, MakeSpreadRequest(plan.tasks, slack, plan.critical_path,
+                                    allowed_slowness));
+  if (plan.wait > slack) {
+    plan.refusal = result_code::kNotRunOverloaded;
+    return;
+  }
+  if (arrival.spec.steps.size() > 1) {
+    AssignWhole(candidates, plan.tasks);
+  }
+  plan.load_age = OldestLoadAge(state, candidates, now);
+  plan.parts = MakeParts(candidates);
+}
+
+}  // namespace
+
+/// Returns the expected running time of the longest chain of dependent steps.
+milliseconds ExpectedCriticalPath(const engine& state, const std::string& queue,
+                                  const job_spec& job) {
+  std::vector<milliseconds> finish(job.steps.size());
+  milliseconds longest{0};
+  for (size_t step = 0; step < job.steps.size(); ++step) {
+    milliseconds start{0};
+    for (const uint32_t earlier : job.steps[step].after) {
+      start = std::max(start, finish[earlier]);
+    }
+    finish[step] = start + ExpectedRuntime(state.runtimes, queue,
+                                           job.steps[step].estimate);
+    longest = std::max(longest, finish[step]);
+  }
+  return longest;
+}
+
+/// Returns the usable controllers that have workers of an upstream.
+std::vector<spread_candidate> FindControllers(const engine& state,
+                                              const std::string& upstream,
+                                              instant now) {
+  std::vector<spread_candidate> found;
+  if (!state.leaving) {
+    const load_table own = ReportLoad(state, now);
+    const auto at = own.find(upstream);
+    if (at != own.end()) {
+      found.push_back(
+          {.controller = state.self.incarnation, .load = at->second});
+    }
+  }
+  for (const auto& [incarnation, one] : state.peers) {
+    const auto at = one.load.find(upstream);
+    if (IsUsable(one) && at != one.load.end() && at->second.workers > 0) {
+      const bool local = one.identity.data_centre == state.self.data_centre;
+      found.push_back(
+          {.controller = incarnation,
+           .load = at->second,
+           .penalty = local ? kRemoteEntryPenalty : kRemoteDataCentrePenalty});
+    }
+  }
+  return found;
+}
+
+job_plan PlanJob(const engine& state, const job_arrival& arrival,
+                 instant arrived, instant now) {
+  job_plan plan{.arrived = arrived, .tasks = CountTasks(arrival.spec)};
+  const queue_config* const queue =
+      state.config ? FindQueueByName(*state.config, arrival.queue) : nullptr;
+  if (queue == nullptr) {
+    plan.refusal = result_code::kNotRunNoConfig;
+    return plan;
+  }
+  plan.refusal = CheckRequest(state, arrival, plan.tasks);
+  if (plan.refusal != result_code::kOk) {
+    return plan;
+  }
+  plan.critical_path = ExpectedCriticalPath(state, arrival.queue, arrival.spec);
+  const milliseconds caller_timeout = CallerTimeout(state, arrival, *queue);
+  plan.deadline = arrived + caller_timeout;
+  if (std::chrono::duration_cast<milliseconds>(
+          plan.critical_path * kMinTimeoutShare) > plan.deadline - now) {
+    plan.refusal = result_code::kNotRunDeadline;
+    return plan;
+  }
+  const runtime_estimate runtime = EstimateRuntime(
+      state.runtimes, arrival.queue, arrival.spec.steps.front().estimate);
+  if (!FitsDrain(state, plan.critical_path, runtime, now)) {
+    plan.refusal = result_code::kNotRunDraining;
+    return plan;
+  }
+  // The answer is due by the objective; after the caller's timeout it is of no
+  // use.
+  const auto time_limit = std::min(
+      std::chrono::duration_cast<microseconds>(
+          plan.critical_path * queue->stretch + queue->objective),
+      std::chrono::duration_cast<microseconds>(caller_timeout - kAnswerMargin));
+  plan.objective = arrived + time_limit;
+  plan.useful_until =
+      std::min(arrived + kMaxLatenessFactor * time_limit, plan.deadline) -
+      plan.critical_path;
+  PlanParts(state, arrival, *queue, runtime, now, plan);
+  return plan;
+}
+
+}  // namespace tarragondrift::fleet
--- a/packages/fleet/src/caller_cmd.cc
+++ b/packages/fleet/src/caller_cmd.cc
@@ -4,6 +4,7 @@
 #include <utility>
 #include <vector>
 
+#include "tarragondrift/fleet/admission_cmd.h"
 #include "tarragondrift/fleet/engine_cmd.h"
 #include "tarragondrift/fleet/part_cmd.h"
 #include "tarragondrift/fleet/peer_cmd.h"
@@ -16,84 +17,9 @@
 
 using std::chrono::microseconds;
 
-/// Added to the predicted wait at another entry: the round trip to another data
-/// centre, or the hop to another entry of the same one.
-constexpr microseconds kRemoteDataCentrePenalty = milliseconds(4);
-constexpr microseconds kRemoteEntryPenalty = milliseconds(2);
 /// Maximum time that the answer to a failed job waits for its controllers to
 /// report whether a task was started.
 constexpr milliseconds kStartReportTimeout{100};
-/// Part of the caller's timeout reserved for sending the answer.
-constexpr milliseconds kAnswerMargin{20};
-/// A job is refused at once if its timeout is below this share of the expected
-/// running time; declared times are off by up to 40%.
-constexpr double kMinTimeoutShare = 0.6;
-
-/// Returns the expected running time of the longest chain of dependent steps.
-milliseconds ExpectedCriticalPath(const engine& state, const std::string& queue,
-                                  const job_spec& job) {
-  std::vector<milliseconds> finish(job.steps.size());
-  milliseconds longest{0};
-  for (size_t step = 0; step < job.steps.size(); ++step) {
-    milliseconds start{0};
-    for (const uint32_t earlier : job.steps[step].after) {
-      start = std::max(start, finish[earlier]);
-    }
-    finish[step] = start + ExpectedRuntime(state.runtimes, queue,
-                                           job.steps[step].estimate);
-    longest = std::max(longest, finish[step]);
-  }
-  return longest;
-}
-
-uint32_t CountTasks(const job_spec& job) {
-  uint32_t tasks = 0;
-  for (const step_spec& step : job.steps) {
-    tasks += step.count;
-  }
-  return tasks;
-}
-
-/// Returns the usable controllers that have workers of an upstream.
-std::vector<spread_candidate> FindControllers(const engine& state,
-                                              const std::string& upstream,
-                                              instant now) {
-  std::vector<spread_candidate> found;
-  if (!state.leaving) {
-    const load_table own = ReportLoad(state, now);
-    const auto at = own.find(upstream);
-    if (at != own.end()) {
-      found.push_back(
-          {.controller = state.self.incarnation, .load = at->second});
-    }
-  }
-  for (const auto& [incarnation, one] : state.peers) {
-    const auto at = one.load.find(upstream);
-    if (IsUsable(one) && at != one.load.end() && at->second.workers > 0) {
-      const bool local = one.identity.data_centre == state.self.data_centre;
-      found.push_back(
-          {.controller = incarnation,
-           .load = at->second,
-           .penalty = local ? kRemoteEntryPenalty : kRemoteDataCentrePenalty});
-    }
-  }
-  return found;
-}
-
-/// Returns the age of the oldest load report that the spread relied on.
-milliseconds OldestLoadAge(const engine& state,
-                           const std::vector<spread_candidate>& candidates,
-                           instant now) {
-  milliseconds oldest{0};
-  for (const spread_candidate& candidate : candidates) {
-    const auto at = state.peers.find(candidate.controller);
-    if (candidate.assigned > 0 && at != state.peers.end()) {
-      oldest = std::max(oldest, std::chrono::floor<milliseconds>(
-                                    now - at->second.load_received));
-    }
-  }
-  return oldest;
-}
 
 /// Deducts tasks that were just offered from the controller's last load report,
 /// until its next one replaces it.
@@ -264,65 +190,6 @@
   return true;
 }
 
-spread_request MakeSpreadRequest(uint32_t tasks, microseconds slack,
-                                 microseconds critical_path,
-                                 double allowed_slowness) {
-  spread_request request{.tasks = tasks, .slack = slack};
-  if (allowed_slowness < 1) {
-    request.not_fast_cost = std::chrono::duration_cast<microseconds>(
-        critical_path * (1 - kFastBelow));
-  }
-  if (allowed_slowness < kSlowAbove) {
-    request.slow_cost = std::chrono::duration_cast<microseconds>(
-                            critical_path * (kSlowAbove - 1)) +
-                        request.not_fast_cost;
-  }
-  return request;
-}
-
-/// Splits the tasks of a job into one part per assigned controller.
-std::vector<job_part> MakeParts(
-    const std::vector<spread_candidate>& candidates) {
-  std::vector<job_part> parts;
-  uint32_t first = 0;
-  for (const spread_candidate& candidate : candidates) {
-    if (candidate.assigned > 0) {
-      parts.push_back({.controller = candidate.controller,
-                       .first = first,
-                       .count = candidate.assigned});
-      first += candidate.assigned;
-    }
-  }
-  return parts;
-}
-
-/// Assigns all tasks of a multi-step job to the controller that the spread gave
-/// the most tasks.
-void AssignWhole(std::vector<spread_candidate>& candidates, uint32_t tasks) {
-  auto largest = std::max_element(
-      candidates.begin(), candidates.end(),
-      [](const spread_candidate& a, const spread_candidate& b) {
-        return a.assigned < b.assigned;
-      });
-  for (spread_candidate& candidate : candidates) {
-    candidate.assigned = 0;
-  }
-  largest->assigned = tasks;
-}
-
-/// Returns the timeout given by the caller, which knows best how long an answer
-/// is of use to it, capped at max_caller_timeout. A caller that gave none gets
-/// the queue's timeout, uncapped, or max_caller_timeout if the queue has none
-/// either.
-milliseconds CallerTimeout(const engine& state, const job_arrival& arrival,
-                           const queue_config& queue) {
-  if (arrival.caller_timeout.count() > 0) {
-    return std::min(arrival.caller_timeout, state.options.max_caller_timeout);
-  }
-  return queue.timeout.count() > 0 ? queue.timeout
-                                   : state.options.max_caller_timeout;
-}
-
 /// Attaches a repeated request to the job that is already running here. The
 /// earlier request is answered with kOutcomeUnknown.
 /// @return whether the job is running here.
@@ -340,97 +207,95 @@
   return true;
 }
 
-}  // namespace
+/// Whether a job that cannot be served now may be served soon: this entry has
+/// just started and does not know the capacity that there will be.
+bool MayBecomePossible(const engine& state, const job_plan& plan, instant now) {
+  const bool lacks_capacity = plan.refusal == result_code::kNotRunNoInstance ||
+                              plan.refusal == result_code::kNotRunOverloaded;
+  return lacks_capacity && !state.leaving && now < plan.useful_until &&
+         now - state.started < state.options.startup_hold;
+}
 
-void SubmitJob(engine& state, job_arrival arrival, instant now) {
-  const queue_config* const queue =
-      state.config ? FindQueueByName(*state.config, arrival.queue) : nullptr;
-  if (queue == nullptr) {
-    Refuse(state, arrival, result_code::kNotRunNoConfig, microseconds{0});
-    return;
-  }
-  if (AttachToRunning(state, arrival)) {
-    return;
-  }
-  if (state.cancelled.contains(arrival.spec.id)) {
-    Refuse(state, arrival, result_code::kNotRunCancelled, microseconds{0});
-    return;
-  }
-  const uint32_t tasks = CountTasks(arrival.spec);
-  if (state.jobs.size() >= state.options.max_jobs ||
-      tasks > state.options.max_tasks) {
-    Refuse(state, arrival, result_code::kNotRunOverloaded, microseconds{0});
-    return;
-  }
-  const milliseconds critical_path =
-      ExpectedCriticalPath(state, arrival.queue, arrival.spec);
-  const milliseconds caller_timeout = CallerTimeout(state, arrival, *queue);
-  if (std::chrono::duration_cast<milliseconds>(
-          critical_path * kMinTimeoutShare) > caller_timeout) {
-    Refuse(state, arrival, result_code::kNotRunDeadline, microseconds{0});
-    return;
-  }
-  const runtime_estimate runtime = EstimateRuntime(
-      state.runtimes, arrival.queue, arrival.spec.steps.front().estimate);
-  // The drain must cover the upper bound of the running time, which one task in
-  // 40 exceeds.
-  if (state.leaving &&
-      now + critical_path - runtime.median + runtime.upper > state.leave_by) {
-    Refuse(state, arrival, result_code::kNotRunDraining, microseconds{0});
-    return;
-  }
-  // The answer is due by the objective; after the caller's timeout it is of no
-  // use.
-  const auto time_limit = std::min(
-      std::chrono::duration_cast<microseconds>(critical_path * queue->stretch +
-                                               queue->objective),
-      std::chrono::duration_cast<microseconds>(caller_timeout - kAnswerMargin));
-  const microseconds slack =
-      std::max<microseconds>(time_limit - critical_path, microseconds{0});
-  auto candidates = FindControllers(state, queue->upstream, now);
-  if (candidates.empty()) {
-    Refuse(state, arrival, result_code::kNotRunNoInstance, microseconds{0});
-    return;
-  }
-  const microseconds wait = SpreadTasks(
-      candidates,
-      MakeSpreadRequest(tasks, slack, critical_path,
-                        AllowedSlowness(runtime, time_limit, caller_timeout)));
-  if (wait > slack) {
-    Refuse(state, arrival, result_code::kNotRunOverloaded, wait);
-    return;
-  }
-  if (arrival.spec.steps.size() > 1) {
-    AssignWhole(candidates, tasks);
-  }
+void HoldJob(engine& state, job_arrival arrival, const job_plan& plan,
+             instant now) {
+  log_line line("job_held");
+  line.With("job", arrival.spec.id)
+      .With("queue", arrival.queue)
+      .With("cause", std::string(DescribeResultCode(plan.refusal).name))
+      .With("useful_ms",
+            std::chrono::floor<milliseconds>(plan.useful_until - now).count());
+  AddLogLine(state, line);
+  const uint64_t request = arrival.request;
+  state.held_jobs[request] = {.arrival = std::move(arrival), .arrived = now};
+}
+
+/// Registers a job and offers its parts.
+void AcceptJob(engine& state, job_arrival arrival, job_plan plan, instant now) {
   const uint64_t number = ++state.last_job;
   ++state.counts.jobs;
   log_line line("job_accepted");
   line.With("job", arrival.spec.id)
       .With("queue", arrival.queue)
-      .With("tasks", static_cast<int64_t>(tasks))
-      .With("expected_ms", critical_path.count())
-      .With("deadline_ms", caller_timeout.count())
-      .With("wait_us", wait.count())
-      .With("load_age_ms", OldestLoadAge(state, candidates, now).count())
-      .With("config", static_cast<int64_t>(state.config->version));
+      .With("tasks", static_cast<int64_t>(plan.tasks))
+      .With("expected_ms", plan.critical_path.count())
+      .With("deadline_ms",
+            std::chrono::floor<milliseconds>(plan.deadline - now).count())
+      .With("wait_us", plan.wait.count())
+      .With("load_age_ms", plan.load_age.count())
+      .With("config", static_cast<int64_t>(state.config->version))
+      .With("parts", static_cast<int64_t>(plan.parts.size()));
+  AddLogLine(state, line);
   state.job_by_id[arrival.spec.id] = number;
   caller_job& job = state.jobs[number];
   job = {.request = arrival.request,
          .queue = arrival.queue,
          .spec = std::move(arrival.spec),
-         .arrived = now,
-         .objective = now + time_limit,
-         .deadline = now + caller_timeout,
-         .parts = MakeParts(candidates)};
-  line.With("parts", static_cast<int64_t>(job.parts.size()));
-  AddLogLine(state, line);
+         .arrived = plan.arrived,
+         .objective = plan.objective,
+         .deadline = plan.deadline,
+         .parts = std::move(plan.parts)};
   for (uint32_t part = 0; part < job.parts.size(); ++part) {
     SendOffer(state, number, part, now);
   }
 }
 
+}  // namespace
+
+void SubmitJob(engine& state, job_arrival arrival, instant now) {
+  if (AttachToRunning(state, arrival)) {
+    return;
+  }
+  job_plan plan = PlanJob(state, arrival, now, now);
+  if (plan.refusal == result_code::kOk) {
+    AcceptJob(state, std::move(arrival), std::move(plan), now);
+  } else if (MayBecomePossible(state, plan, now) &&
+             state.held_jobs.size() < state.options.max_held_jobs) {
+    HoldJob(state, std::move(arrival), plan, now);
+  } else {
+    Refuse(state, arrival, plan.refusal, plan.wait);
+  }
+}
+
+void RetryHeldJobs(engine& state, instant now) {
+  for (auto at = state.held_jobs.begin(); at != state.held_jobs.end();) {
+    held_job& held = at->second;
+    job_plan plan = PlanJob(state, held.arrival, held.arrived, now);
+    if (plan.refusal == result_code::kOk) {
+      AcceptJob(state, std::move(held.arrival), std::move(plan), now);
+    } else if (MayBecomePossible(state, plan, now)) {
+      ++at;
+      continue;
+    } else {
+      Refuse(state, held.arrival, plan.refusal, plan.wait);
+    }
+    at = state.held_jobs.erase(at);
+  }
+}
+
 void CallerLeft(engine& state, uint64_t request, instant now) {
+  if (state.held_jobs.erase(request) > 0) {
+    return;
+  }
   for (const auto& [number, job] : state.jobs) {
     if (job.request == request) {
       log_line line("caller_left");
--- a/packages/fleet/src/contact_cmd.cc
+++ b/packages/fleet/src/contact_cmd.cc
@@ -12,7 +12,7 @@
 /// Whether a peer may be alive. A peer that is not a contact is taken to be
 /// alive until it has been given the time to answer.
 bool MayBeAlive(const engine& state, const peer& one, instant now) {
-  if (one.leaving || one.withdrawn) {
+  if (one.leaving || one.withdrawn || one.superseded) {
     return false;
   }
   if (!one.silent || !one.contact) {
--- a/packages/fleet/src/engine_cmd.cc
+++ b/packages/fleet/src/engine_cmd.cc
@@ -21,6 +21,7 @@
   engine state;
   state.options = options;
   state.self = self;
+  state.started = now;
   state.listening_since = now;
   state.last_active = now;
   state.next_heartbeat = now;
@@ -59,7 +60,8 @@
 }
 
 bool HasLeft(const engine& state) {
-  return state.leaving && state.jobs.empty() && state.parts.size() == 0 &&
+  return state.leaving && state.jobs.empty() && state.held_jobs.empty() &&
+         state.parts.size() == 0 &&
          std::none_of(
              state.workers.begin(), state.workers.end(),
              [](const auto& entry) { return IsControlled(entry.second); });
@@ -103,6 +105,7 @@
   }
   TickWorkers(state, now);
   ExpireParts(state, now);
+  RetryHeldJobs(state, now);
   ExpireJobs(state, now);
   TickPeers(state, now);
   // Ejections and backoffs of workers may have ended.
--- a/packages/fleet/src/part_cmd.cc
+++ b/packages/fleet/src/part_cmd.cc
@@ -20,9 +20,6 @@
 
 using std::chrono::microseconds;
 
-/// An answer is still useful until this multiple of the time from the arrival
-/// to the objective.
-constexpr int kMaxLatenessFactor = 3;
 /// Logarithm of the recent slowness above which a worker counts as degraded;
 /// that of healthy workers stays within 0.22 apart from random variation.
 constexpr double kDegradedLogSlowness = 0.8;
@@ -608,8 +605,11 @@
       ended.emplace_back(id, result_code::kDeadlineExceeded);
       return;
     }
+    // A part that was late on arrival is useful until its deadline.
     const instant useful_until =
-        one.arrived + kMaxLatenessFactor * (one.objective - one.arrived);
+        one.objective > one.arrived
+            ? one.arrived + kMaxLatenessFactor * (one.objective - one.arrived)
+            : one.deadline;
     if (!HasStarted(one) && now + ExpectedRemainingTime(state, one, 0) >=
                                 std::min(useful_until, one.deadline)) {
       ended.emplace_back(id, result_code::kNotRunDeadline);
--- a/packages/fleet/src/peer_cmd.cc
+++ b/packages/fleet/src/peer_cmd.cc
@@ -141,6 +141,7 @@
   for (auto& [incarnation, one] : state.peers) {
     if (one.identity.name == newer.name && incarnation < newer.incarnation) {
       MarkSilent(state, one, "restarted", now);
+      one.superseded = true;
       one.claims.clear();
     }
   }
@@ -236,8 +237,11 @@
 /// Whether a peer can be forgotten. A peer that is listed may be behind a
 /// network partition, however long it has been silent.
 bool IsForgettable(const engine& state, const peer& one, instant now) {
-  return one.silent && !one.in_flight && !one.listed &&
-         (!one.contact || one.withdrawn || IsRetired(state, one, now));
+  if (!one.silent || one.in_flight) {
+    return false;
+  }
+  return one.superseded || (!one.listed && (!one.contact || one.withdrawn ||
+                                            IsRetired(state, one, now)));
 }
 
 bool IsHeartbeatDue(const engine& state, const peer& one, instant now) {
--- a/packages/fleet/src/placement_cmd.cc
+++ b/packages/fleet/src/placement_cmd.cc
@@ -82,6 +82,14 @@
   return any_fast_enough ? max_slowness : std::numeric_limits<double>::max();
 }
 
+/// Returns the CPU need of a task of mean size. Until a task was placed, tasks
+/// are taken to need half of a worker.
+uint32_t TypicalTaskCpu(const engine& state, const worker& candidate) {
+  return std::max(1U, state.mean_cpu_milli > 0
+                          ? static_cast<uint32_t>(state.mean_cpu_milli)
+                          : candidate.listing.capacity.cpu_milli / 2);
+}
+
 }  // namespace
 
 double AllowedSlowness(const runtime_estimate& runtime,
@@ -185,14 +193,13 @@
 
 load_table ReportLoad(const engine& state, instant now) {
   load_table table;
-  const auto cpu_per_task =
-      static_cast<uint32_t>(std::max(1.0, state.mean_cpu_milli));
   for (const auto& [id, candidate] : state.workers) {
     if (!AcceptsStarts(state, candidate, now)) {
       continue;
     }
     load_report& report = table[candidate.listing.upstream];
     ++report.workers;
+    const uint32_t cpu_per_task = TypicalTaskCpu(state, candidate);
     const uint32_t free =
         candidate.health.consecutive_failures <
                 state.options.max_consecutive_failures
--- a/packages/fleet/src/worker_cmd.cc
+++ b/packages/fleet/src/worker_cmd.cc
@@ -148,7 +148,7 @@
   bool all_heard = state.peers_listed && !state.peers.empty();
   bool any_awaited = false;
   for (const auto& [incarnation, one] : state.peers) {
-    if (one.contact && one.candidate) {
+    if (one.contact && one.candidate && !one.superseded) {
       all_heard = all_heard && one.ever_heard && one.last_heard >= since;
       any_awaited = any_awaited || (!one.ever_heard &&
                                     now - one.contact_since <
--- a/packages/fleet/test/control_test.cc
+++ b/packages/fleet/test/control_test.cc
@@ -180,6 +180,7 @@
 
 TEST_CASE_METHOD(control_fixture,
                  "no run starts before those of the previous controller end") {
+  state.options.startup_hold = 0ms;
   Advance(1'500ms);
   REQUIRE(polls == 1);
   SubmitJob(state,
