--- a/packages/bench/fleet/fleet_sim.cc
+++ b/packages/bench/fleet/fleet_sim.cc
@@ -45,6 +45,16 @@
 constexpr uint32_t kMostTries = 3;
 constexpr uint32_t kWorkerCpu = 16'000;
 constexpr uint32_t kEntryCpu = 250;
+constexpr uint32_t kStrongEntryCpu = 500;
+constexpr uint32_t kWeakEntryCpu = 120;
+
+bool HasLongTasks(const fleet_schedule& schedule) {
+  return schedule.seed % 2 == 1;
+}
+
+milliseconds DeadlineOf(const fleet_schedule& schedule) {
+  return HasLongTasks(schedule) ? kLongDeadline : kShortDeadline;
+}
 
 /// One entry process.
 struct sim_entry {
@@ -84,6 +94,14 @@
     return std::uniform_int_distribution<uint32_t>(0, limit - 1)(random_);
   }
   bool HasLongTasks() const { return schedule_.seed % 2 == 1; }
+  uint32_t CpuOf(size_t at) const {
+    if (schedule_.strong_every == 0) {
+      return kEntryCpu;
+    }
+    return at / schedule_.data_centres % schedule_.strong_every == 0
+               ? kStrongEntryCpu
+               : kWeakEntryCpu;
+  }
   std::string DataCentreOf(size_t at) const {
     return "dc" + std::to_string(at % schedule_.data_centres);
   }
@@ -249,7 +267,7 @@
                                  .name = one.name,
                                  .address = std::to_string(at),
                                  .data_centre = DataCentreOf(at),
-                                 .cpu_milli = kEntryCpu},
+                                 .cpu_milli = CpuOf(at)},
                                 loop_.now());
   fleet::ApplyConfig(
       one.state, std::make_shared<const fleet::fleet_config>(MakeConfig()), "");
@@ -685,10 +703,7 @@
                                  schedule_.length.count())))),
              [this] { Fault(); });
   }
-  // The last job may be sent three times, and what it began ends after that.
-  loop_.RunUntil(instant(kLead + schedule_.length +
-                         kMostTries * (Deadline() + kResend) +
-                         milliseconds(2'000)));
+  loop_.RunUntil(instant(PlayedTime(schedule_)));
   for (const auto& one : workers_) {
     outcome_.stale_orders += one->StaleOrders();
   }
@@ -724,6 +739,12 @@
   return *this;
 }
 
+milliseconds PlayedTime(const fleet_schedule& schedule) {
+  // The last job may be sent three times, and what it began ends after that.
+  return kLead + schedule.length +
+         kMostTries * (DeadlineOf(schedule) + kResend) + milliseconds(2'000);
+}
+
 fleet_outcome PlayFleet(const fleet_schedule& schedule) {
   return world(schedule).Play();
 }
--- a/packages/bench/fleet/fleet_sim.h
+++ b/packages/bench/fleet/fleet_sim.h
@@ -32,6 +32,9 @@
   uint32_t data_centres = 2;
   /// Workers that an entry may control per core.
   uint32_t workers_per_core = 160;
+  /// Every so many entries one has the processor share of a controller, and the
+  /// others less; 0 if all are alike.
+  uint32_t strong_every = 0;
   /// Jobs a second over all entries.
   double jobs_per_second = 12;
   std::chrono::milliseconds length{5'000};
@@ -69,6 +72,9 @@
   fleet_outcome& operator+=(const fleet_outcome& other);
 };
 
+/// Returns the virtual time that a schedule takes.
+std::chrono::milliseconds PlayedTime(const fleet_schedule& schedule);
+
 /// Plays one schedule; the same seed gives the same outcome.
 fleet_outcome PlayFleet(const fleet_schedule& schedule);
 
--- a/packages/bench/fleet/main.cc
+++ b/packages/bench/fleet/main.cc
@@ -25,16 +25,19 @@
   fleet_mutation mutation = fleet_mutation::kNone;
   bool expect_caught = false;
   bool trace = false;
+  /// Plays quiet fleets of several sizes in place of fault schedules.
+  bool sizes = false;
 };
 
 bool Parse(int count, char** arguments, options& into) {
-  const std::array<option, 7> flags{
+  const std::array<option, 8> flags{
       {{"seeds", required_argument, nullptr, 's'},
        {"first", required_argument, nullptr, 'f'},
        {"threads", required_argument, nullptr, 't'},
        {"mutation", required_argument, nullptr, 'm'},
        {"expect-caught", no_argument, nullptr, 'e'},
        {"trace", no_argument, nullptr, 'v'},
+       {"sizes", no_argument, nullptr, 'z'},
        {}}};
   int chosen = 0;
   while ((chosen = getopt_long(count, arguments, "", flags.data(), nullptr)) !=
@@ -58,6 +61,9 @@
       case 'v':
         into.trace = true;
         break;
+      case 'z':
+        into.sizes = true;
+        break;
       case 'e':
         into.expect_caught = true;
         break;
@@ -127,11 +133,58 @@
   return sum;
 }
 
+/// Plays a quiet fleet with one strong entry in eight, as the users' largest
+/// deployment has, and nearly eight workers to an entry.
+/// @return envelopes sent by an entry in a second.
+double PlaySize(uint32_t entries) {
+  constexpr uint32_t kDataCentres = 6;
+  constexpr uint32_t kStrongEvery = 8;
+  constexpr uint32_t kWorkersPerEight = 60;
+  const fleet_schedule schedule{.seed = 2,
+                                .entries = entries,
+                                .workers = entries * kWorkersPerEight / 8,
+                                .data_centres = kDataCentres,
+                                .strong_every = kStrongEvery,
+                                .jobs_per_second = 1,
+                                .length = std::chrono::milliseconds(5'000),
+                                .faults = 0};
+  const fleet_outcome outcome = PlayFleet(schedule);
+  const double seconds =
+      std::chrono::duration<double>(PlayedTime(schedule)).count();
+  const double each =
+      static_cast<double>(outcome.envelopes) / entries / seconds;
+  PrintFigure(
+      {.name = "fleet_envelopes_per_entry_" + std::to_string(entries),
+       .value = each,
+       .kind = bound_kind::kNone,
+       .unit = "1/s",
+       .context = "max_contacts=" + std::to_string(outcome.max_contacts)});
+  return each;
+}
+
+/// Envelopes between entries must not grow with the square of the entries: an
+/// entry's own must stay the same, but for the share of entries that control
+/// workers, which changes with rounding.
+int PlaySizes() {
+  constexpr double kMaxGrowth = 1.25;
+  const double small = PlaySize(60);
+  PlaySize(147);
+  const double large = PlaySize(300);
+  return PrintFigure({.name = "fleet_envelope_growth_60_to_300",
+                      .value = large / small,
+                      .bound = kMaxGrowth})
+             ? 0
+             : 1;
+}
+
 int Run(int count, char** arguments) {
   options chosen;
   if (!Parse(count, arguments, chosen)) {
     return 2;
   }
+  if (chosen.sizes) {
+    return PlaySizes();
+  }
   const fleet_outcome sum = PlayAll(chosen);
   if (chosen.expect_caught) {
     std::cout << "caught=" << Broken(sum) << '\n';
