--- a/packages/fleet/include/tarragondrift/fleet/engine_base.h
+++ b/packages/fleet/include/tarragondrift/fleet/engine_base.h
@@ -215,7 +215,9 @@
 
   /// Time of the last event, for the detection of process pauses.
   instant last_active;
+  /// When all peers of a full mesh get their next heartbeat.
   instant next_heartbeat;
+  /// When all contacts concerned last got one.
   instant last_heartbeat;
   /// Changes that contacts are told of before their next heartbeat is due.
   announcement announce = announcement::kNone;
