fleet: log and count the runs that are lost with their worker

Callers saw jobs end at their timeout, and the logs could not say that a task had crashed the workers that started it: a lost worker left one line, leases_expired, without its runs, and nothing told a crash from a partition. Now the first failed poll, a refused connection and each lost run are logged with their evidence.

--- a/packages/daemon/src/fleet_metrics.cc
+++ b/packages/daemon/src/fleet_metrics.cc
@@ -107,6 +107,9 @@
   AppendMetric(page, "tarragondrift_stalls_total", counts.stalls);
   AppendMetric(page, "tarragondrift_workers_acquired_total", counts.acquired);
   AppendMetric(page, "tarragondrift_workers_lost_total", counts.lost);
+  AppendMetric(page, "tarragondrift_workers_lost_with_runs_total",
+               counts.workers_lost_with_runs);
+  AppendMetric(page, "tarragondrift_runs_lost_total", counts.runs_lost);
   for (const auto& [code, count] : counts.answers) {
     page << "tarragondrift_answers_total{code=\""
          << DescribeResultCode(code).name << "\"} " << count << '\n';
--- a/packages/fleet/include/tarragondrift/fleet/engine_base.h
+++ b/packages/fleet/include/tarragondrift/fleet/engine_base.h
@@ -151,6 +151,9 @@
   uint64_t stalls = 0;
   uint64_t acquired = 0;
   uint64_t lost = 0;
+  /// Workers that were lost while they had runs, and those runs.
+  uint64_t workers_lost_with_runs = 0;
+  uint64_t runs_lost = 0;
   std::map<result_code, uint64_t> answers;
 };
 
--- a/packages/fleet/include/tarragondrift/fleet/worker_base.h
+++ b/packages/fleet/include/tarragondrift/fleet/worker_base.h
@@ -115,6 +115,10 @@
   instant last_heard;
   bool poll_in_flight = false;
   instant poll_sent;
+  /// Polls without a reply since `last_heard`, and whether the worker's address
+  /// refused a connection since then.
+  uint32_t failed_polls = 0;
+  bool refused = false;
   /// Number of the newest poll; replies to earlier ones are ignored.
   uint64_t poll_number = 0;
   /// Number of the last ended run that was processed.
@@ -184,9 +188,18 @@
   kAnswered,
   kFenced,
   kOtherIncarnation,
+  /// The poll was not sent: nothing listens at the worker's address.
+  kRefused,
+  /// The poll was not sent for another reason.
+  kNotSent,
+  /// No reply: the worker may have received the poll.
   kUnknown
 };
 
+inline bool IsUnanswered(poll_outcome outcome) {
+  return outcome >= poll_outcome::kRefused;
+}
+
 /// A worker's reply to a poll.
 struct poll_reply {
   poll_outcome outcome = poll_outcome::kUnknown;
--- a/packages/fleet/src/worker_cmd.cc
+++ b/packages/fleet/src/worker_cmd.cc
@@ -6,6 +6,7 @@
 #include <utility>
 
 #include "tarragondrift/fleet/contact_cmd.h"
+#include "tarragondrift/fleet/crash_cmd.h"
 #include "tarragondrift/fleet/engine_cmd.h"
 #include "tarragondrift/fleet/lease_cmd.h"
 #include "tarragondrift/fleet/ownership_cmd.h"
@@ -41,7 +42,39 @@
   return {.id = one.listing.id, .address = one.listing.address};
 }
 
-void RecordClock(worker& one, int64_t clock_ms, instant now) {
+void LogReachability(engine& state, const worker& one, const char* event,
+                     const char* cause, instant now) {
+  log_line line(event);
+  line.With("worker", one.listing.id)
+      .With("cause", cause)
+      .With("runs", static_cast<int64_t>(one.runs.size()))
+      .With("silence_ms",
+            std::chrono::floor<milliseconds>(now - one.last_heard).count());
+  AddLogLine(state, line);
+}
+
+/// Records a poll that got no reply. Only the first one and the first refused
+/// connection since the last reply are logged.
+void RecordFailedPoll(engine& state, worker& one, poll_outcome outcome,
+                      instant now) {
+  const bool refused = outcome == poll_outcome::kRefused;
+  if (one.failed_polls == 0 || (refused && !one.refused)) {
+    const char* const cause = refused                             ? "refused"
+                              : outcome == poll_outcome::kNotSent ? "not_sent"
+                                                                  : "no_reply";
+    LogReachability(state, one, "worker_unreachable", cause, now);
+  }
+  ++one.failed_polls;
+  one.refused = one.refused || refused;
+}
+
+/// Records a reply and the worker's clock in it.
+void RecordReply(engine& state, worker& one, int64_t clock_ms, instant now) {
+  if (one.failed_polls > 0) {
+    LogReachability(state, one, "worker_reachable", "reply", now);
+  }
+  one.failed_polls = 0;
+  one.refused = false;
   one.last_heard = now;
   if (clock_ms > 0) {
     one.clock_ms = clock_ms;
@@ -124,6 +157,9 @@
   one.poll_in_flight = false;
   ++one.poll_number;
   one.health = {};
+  if (!one.runs.empty()) {
+    RecordWorkerLoss(state, one, loss_evidence::kRestarted, now);
+  }
   // It is unknown which orders arrived after the restart, so that their runs
   // may be running: every run gets a stop order.
   for (const run_name& name : RunNames(one)) {
@@ -355,6 +391,9 @@
     return true;
   }
   if (other_incarnation) {
+    if (!one.runs.empty()) {
+      RecordWorkerLoss(state, one, loss_evidence::kRestarted, now);
+    }
     EndAllRuns(state, one, now);
     EndControl(state, one, "other_life", now);
     return true;
@@ -526,7 +565,7 @@
   worker& one = at->second;
   if (outcome != start_outcome::kUnknown &&
       outcome != start_outcome::kNotSent) {
-    RecordClock(one, clock_ms, now);
+    RecordReply(state, one, clock_ms, now);
   }
   const auto found = one.runs.find(name);
   if (found == one.runs.end()) {
@@ -591,7 +630,7 @@
   const auto found = one.runs.find(name);
   switch (outcome) {
     case stop_outcome::kAcknowledged:
-      RecordClock(one, clock_ms, now);
+      RecordReply(state, one, clock_ms, now);
       if (found != one.runs.end() &&
           found->second.phase == run_phase::kStopping) {
         found->second.phase = run_phase::kStopped;
@@ -616,10 +655,11 @@
   worker& one = at->second;
   one.poll_in_flight = false;
   if (one.phase == control_phase::kProbing) {
-    EndProbe(state, one, reply.outcome != poll_outcome::kUnknown, now);
+    EndProbe(state, one, !IsUnanswered(reply.outcome), now);
     return;
   }
-  if (reply.outcome == poll_outcome::kUnknown) {
+  if (IsUnanswered(reply.outcome)) {
+    RecordFailedPoll(state, one, reply.outcome, now);
     if (one.phase == control_phase::kAcquiring) {
       EndControl(state, one, "unanswered", now);
       one.acquire_unanswered = true;
@@ -637,7 +677,7 @@
       reply.boot_time_ms != one.listing.boot_time_ms) {
     HandleWorkerRestart(state, one, reply.boot_time_ms, now);
   }
-  RecordClock(one, clock_ms, now);
+  RecordReply(state, one, clock_ms, now);
   ProcessEndedRuns(state, one, reply, now);
   ReconcileRuns(state, one, reply, now);
   CheckProgress(state, one, now);
@@ -691,6 +731,13 @@
           .With("silence_ms",
                 std::chrono::floor<milliseconds>(now - one.last_heard).count());
       AddLogLine(state, line, true);
+      // Leases also expire when this entry was paused.
+      if (one.failed_polls > 0) {
+        RecordWorkerLoss(
+            state, one,
+            one.refused ? loss_evidence::kRefused : loss_evidence::kSilent,
+            now);
+      }
       EndAllRuns(state, one, now);
     }
     if (IsControlled(one)) {
--- a/packages/ports/include/tarragondrift/ports/http_client.h
+++ b/packages/ports/include/tarragondrift/ports/http_client.h
@@ -50,6 +50,9 @@
   std::string body;
   /// Why there is no answer, for people.
   std::string error;
+  /// The address refused the connection: nothing listens there. Set only by the
+  /// asynchronous client.
+  bool refused = false;
 };
 
 /// Options of an HTTP client.
--- a/packages/ports/src/async_http_client.cc
+++ b/packages/ports/src/async_http_client.cc
@@ -4,6 +4,7 @@
 #include <netinet/tcp.h>
 #include <sys/socket.h>
 
+#include <cerrno>
 #include <string>
 #include <utility>
 
@@ -60,6 +61,9 @@
                        : too_large_ ? http_exchange::kReplyTooLarge
                                     : http_exchange::kReplyLost;
       reply.error = curl_easy_strerror(code);
+      long os_error = 0;  // NOLINT: libcurl's type
+      curl_easy_getinfo(easy, CURLINFO_OS_ERRNO, &os_error);
+      reply.refused = !sent_ && os_error == ECONNREFUSED;
     }
     done_(std::move(reply));
   }
