Tests of tasks that crash their workers, failing on this code

One task crashes eight workers in 12 s and its job is not answered; the runs of a crashed worker are queued again 1.6 s after its last reply; the task's next start takes other runs with it.

--- /dev/null
+++ b/packages/fleet/test/crash_test.cc
@@ -0,0 +1,282 @@
+// Tasks that crash the workers that start them, and what the callers of other
+// jobs get meanwhile.
+#include <algorithm>
+#include <catch2/catch.hpp>
+#include <map>
+#include <memory>
+#include <set>
+#include <string>
+#include <variant>
+#include <vector>
+
+#include "tarragondrift/fleet/caller_cmd.h"
+#include "tarragondrift/fleet/engine_cmd.h"
+#include "tarragondrift/fleet/peer_cmd.h"
+#include "tarragondrift/fleet/worker_cmd.h"
+
+namespace tarragondrift::fleet {
+namespace {
+
+using namespace std::chrono_literals;  // NOLINT: literals only
+
+constexpr std::chrono::milliseconds kStep{10};
+/// How long a worker is down after a crash.
+constexpr std::chrono::milliseconds kDownTime{3'300};
+
+/// A worker with room for two tasks, which deadly tasks crash.
+struct crashing_worker {
+  std::string id;
+  instant up_again;
+  int64_t boot_time_ms = 1;
+  bool silent = false;
+  std::map<run_name, instant> running;
+  std::vector<listed_end> ended;
+  uint64_t last_end = 0;
+};
+
+/// One entry that controls all workers.
+struct crash_fixture {
+  explicit crash_fixture(size_t count = 8) {
+    state = MakeEngine({}, {.incarnation = 1, .name = "self", .cpu_milli = 250},
+                       now);
+    ApplyConfig(state,
+                std::make_shared<const fleet_config>(
+                    fleet_config{.version = 1,
+                                 .queues = {{.name = "q",
+                                             .host = "h",
+                                             .path_prefix = "/q/",
+                                             .upstream = "plata",
+                                             .attempts = 2,
+                                             .stretch = 1.6,
+                                             .objective = 100ms}}}),
+                "");
+    for (size_t at = 0; at < count; ++at) {
+      const std::string id = "w" + std::to_string(at);
+      workers[id] = {.id = id};
+      UpdateWorkerListing(state, Listing(workers[id]), now);
+    }
+    Advance(1'500ms);
+  }
+
+  static worker_listing Listing(const crashing_worker& one) {
+    return {.id = one.id,
+            .address = one.id,
+            .upstream = "plata",
+            .capacity = {.cpu_milli = 16'000},
+            .boot_time_ms = one.boot_time_ms};
+  }
+
+  void Submit(uint64_t request, const std::string& id, uint32_t tasks,
+              std::chrono::milliseconds timeout) {
+    SubmitJob(state,
+              {.request = request,
+               .queue = "q",
+               .spec = {.id = id,
+                        .steps = {{.count = tasks,
+                                   .need = {.cpu_milli = 8'000},
+                                   .estimate = run_time}}},
+               .caller_timeout = timeout},
+              now);
+  }
+
+  void Crash(crashing_worker& one) {
+    one.up_again = now + kDownTime;
+    ++one.boot_time_ms;
+    one.running.clear();
+    one.ended.clear();
+    one.last_end = 0;
+  }
+
+  void Start(const start_order& order) {
+    crashing_worker& one = workers.at(order.target.id);
+    if (now < one.up_again) {
+      OnStartReply(state, one.id, order.name, start_outcome::kNotSent, 0, now);
+      return;
+    }
+    starts[order.name.task].push_back(one.id);
+    companions[order.name.task].push_back(one.running.size());
+    one.running[order.name] = now + run_time;
+    OnStartReply(state, one.id, order.name, start_outcome::kAccepted,
+                 ClockMs(one), now);
+  }
+
+  void Poll(const poll_order& order) {
+    crashing_worker& one = workers.at(order.target.id);
+    if (now < one.up_again) {
+      OnPollReply(state, one.id, order.number,
+                  {.outcome = one.silent ? poll_outcome::kNotSent
+                                         : poll_outcome::kRefused},
+                  0, now);
+      return;
+    }
+    std::erase_if(one.ended, [&order](const listed_end& end) {
+      return end.number <= order.last_seen;
+    });
+    poll_reply reply{.outcome = poll_outcome::kAnswered,
+                     .ended = one.ended,
+                     .boot_time_ms = one.boot_time_ms};
+    for (const auto& [name, end] : one.running) {
+      reply.running.push_back({.name = name});
+    }
+    OnPollReply(state, one.id, order.number, reply, ClockMs(one), now);
+  }
+
+  void StepWorker(crashing_worker& one) {
+    if (now < one.up_again) {
+      return;
+    }
+    for (auto at = one.running.begin(); at != one.running.end();) {
+      const run_name name = at->first;
+      if (deadly.contains(name.task)) {
+        ++crashes;
+        Crash(one);
+        return;
+      }
+      if (now < at->second) {
+        ++at;
+        continue;
+      }
+      one.ended.push_back({.number = ++one.last_end, .name = name});
+      at = one.running.erase(at);
+    }
+  }
+
+  void Carry(const action& one) {
+    if (const auto* start = std::get_if<start_order>(&one)) {
+      Start(*start);
+    } else if (const auto* poll = std::get_if<poll_order>(&one)) {
+      // The worker keeps a poll for a while; a short one keeps the model small.
+      polls.push_back({.at = now + 20ms, .order = *poll});
+    } else if (const auto* stop = std::get_if<stop_order>(&one)) {
+      crashing_worker& target = workers.at(stop->target.id);
+      if (now >= target.up_again) {
+        if (target.running.erase(stop->name) > 0) {
+          target.ended.push_back({.number = ++target.last_end,
+                                  .name = stop->name,
+                                  .how = run_end::kStopped});
+        }
+        OnStopReply(state, target.id, stop->name, stop_outcome::kAcknowledged,
+                    ClockMs(target), now);
+      }
+    } else if (const auto* answer = std::get_if<caller_answer>(&one)) {
+      answers[answer->request] = {.code = answer->code, .at = now};
+    } else if (const auto* send = std::get_if<peer_send>(&one)) {
+      sent.insert(sent.end(), send->content.messages.begin(),
+                  send->content.messages.end());
+      OnDelivery(state, send->content.to, delivery::kDelivered, now);
+    } else if (const auto* log = std::get_if<log_action>(&one)) {
+      lines.push_back(log->line);
+    }
+  }
+
+  void Advance(std::chrono::milliseconds span) {
+    for (const instant end = now + span; now < end; now += kStep) {
+      for (auto& [id, one] : workers) {
+        StepWorker(one);
+      }
+      const std::vector<due_poll> due = std::move(polls);
+      polls.clear();
+      for (const due_poll& one : due) {
+        if (now >= one.at) {
+          Poll(one.order);
+        } else {
+          polls.push_back(one);
+        }
+      }
+      Tick(state, now);
+      DispatchAndFlush(state, now);
+      for (std::vector<action> taken = TakeActions(state); !taken.empty();
+           taken = TakeActions(state)) {
+        for (const action& one : taken) {
+          Carry(one);
+        }
+      }
+    }
+  }
+
+  int64_t ClockMs(const crashing_worker& one) const {
+    return std::chrono::floor<milliseconds>(now.time_since_epoch()).count() +
+           one.boot_time_ms;
+  }
+
+  struct due_poll {
+    instant at;
+    poll_order order;
+  };
+  struct answer_seen {
+    result_code code = result_code::kOk;
+    instant at;
+  };
+
+  engine state;
+  instant now{10s};
+  std::chrono::milliseconds run_time{200};
+  std::map<std::string, crashing_worker> workers;
+  std::set<task_name> deadly;
+  int crashes = 0;
+  std::vector<due_poll> polls;
+  /// Workers that started each task, and how many runs each had before.
+  std::map<task_name, std::vector<std::string>> starts;
+  std::map<task_name, std::vector<size_t>> companions;
+  std::map<uint64_t, answer_seen> answers;
+  std::vector<peer_message> sent;
+  std::vector<std::string> lines;
+};
+
+// Guards against one task crashing a worker every 1.6 s for as long as its
+// caller waited.
+TEST_CASE_METHOD(crash_fixture, "a task that crashes its workers is given up",
+                 "[!mayfail]") {
+  const task_name task{.job = "deadly"};
+  deadly.insert(task);
+  Submit(1, "deadly", 2, 12s);
+  Advance(12s);
+  CHECK(crashes <= 3);
+  REQUIRE(answers.contains(1));
+  CHECK(answers[1].code == result_code::kTaskFailed);
+}
+
+// Guards against a lease that was extended by polls which never left.
+TEST_CASE_METHOD(crash_fixture,
+                 "the runs of a crashed worker start again once their lease "
+                 "has ended",
+                 "[!mayfail]") {
+  run_time = 600ms;
+  Submit(1, "bystander", 1, 4s);
+  Advance(200ms);
+  const task_name task{.job = "bystander"};
+  REQUIRE(starts[task].size() == 1);
+  Crash(workers.at(starts[task][0]));
+  Advance(state.options.lease + 150ms);
+  CHECK(starts[task].size() == 2);
+  Advance(1s);
+  CHECK(answers[1].code == result_code::kOk);
+}
+
+TEST_CASE_METHOD(
+    crash_fixture,
+    "a task that crashed a worker takes no other run with it again",
+    "[!mayfail]") {
+  const task_name task{.job = "deadly"};
+  deadly.insert(task);
+  // Background of two-task jobs, which leaves hardly a worker empty.
+  for (uint64_t request = 100; request < 200; ++request) {
+    if (request == 110) {
+      Submit(1, "deadly", 1, 6s);
+    }
+    Submit(request, "job" + std::to_string(request), 2, 4s);
+    Advance(50ms);
+  }
+  Advance(4s);
+  REQUIRE(companions[task].size() >= 2);
+  for (size_t at = 1; at < companions[task].size(); ++at) {
+    CHECK(companions[task][at] == 0);
+  }
+  CHECK(crashes <= 3);
+  for (uint64_t request = 100; request < 200; ++request) {
+    CHECK(answers[request].code == result_code::kOk);
+  }
+}
+
+}  // namespace
+}  // namespace tarragondrift::fleet
