bench fleet: tasks that crash workers; suspects delay no admission

Every fourth schedule has tasks that crash each worker that starts them, under kills, cuts, freezes and resubmissions of long jobs.

--- a/packages/bench/fleet/fleet_sim.cc
+++ b/packages/bench/fleet/fleet_sim.cc
@@ -144,6 +144,9 @@
   void Fault();
   void Kill(size_t entry, milliseconds dark);
   void Trace(const std::string& who, const std::string& line) const;
+  bool IsDeadly(const fleet::task_name& task) const;
+  void CrashWorker(size_t worker, milliseconds down);
+  void CountDeadlyStart(const fleet::task_name& task, size_t worker);
   void Began(const fleet::run_name& name, size_t worker);
   void Ended(const fleet::run_name& name, fleet::run_end how);
 
@@ -165,6 +168,10 @@
   uint64_t last_request_ = 0;
   std::map<fleet::task_name, uint32_t> active_;
   std::set<fleet::task_name> done_;
+  int64_t last_boot_ = 1;
+  /// Crashes under each deadly task, and its starts after the third.
+  std::map<fleet::task_name, uint32_t> crashes_;
+  std::map<fleet::task_name, uint32_t> starts_after_crashes_;
 };
 
 std::string TextOf(const fleet::run_name& name) {
@@ -221,8 +228,52 @@
   }
 }
 
+bool world::IsDeadly(const fleet::task_name& task) const {
+  if (schedule_.deadly_every == 0 || task.index != 0) {
+    return false;
+  }
+  const uint64_t number = std::stoul(task.job.substr(3));
+  return number % schedule_.deadly_every == schedule_.deadly_every - 1;
+}
+
+void world::CrashWorker(size_t worker, milliseconds down) {
+  workers_[worker]->Crash();
+  loop_.After(down, [this, worker, boot_time_ms = ++last_boot_] {
+    workers_[worker]->Begin(boot_time_ms);
+    for (size_t at = 0; at < entries_.size(); ++at) {
+      Do(at, entries_[at].incarnation,
+         [this, at](fleet::engine&) { TellWorkers(at); });
+    }
+  });
+}
+
+/// Crashes the worker of a deadly task soon after its start.
+void world::CountDeadlyStart(const fleet::task_name& task, size_t worker) {
+  constexpr milliseconds kCrashDelay{10};
+  constexpr milliseconds kDownTime{3'300};
+  constexpr uint32_t kCrashes = 3;
+  constexpr uint32_t kMostStarts = 3;
+  if (crashes_[task] >= kCrashes &&
+      ++starts_after_crashes_[task] == kMostStarts) {
+    ++outcome_.crash_loops;
+    Trace("checks", "crash loop job=" + task.job);
+  }
+  loop_.After(
+      kCrashDelay, [this, task, worker, life = workers_[worker]->Life()] {
+        if (workers_[worker]->Up() && workers_[worker]->Life() == life) {
+          ++crashes_[task];
+          ++outcome_.crashes;
+          Trace("worker" + std::to_string(worker), "crashed job=" + task.job);
+          CrashWorker(worker, kDownTime);
+        }
+      });
+}
+
 void world::Began(const fleet::run_name& name, size_t worker) {
   ++outcome_.starts;
+  if (IsDeadly(name.task)) {
+    CountDeadlyStart(name.task, worker);
+  }
   Trace("worker" + std::to_string(worker), "began " + TextOf(name));
   if (++active_[name.task] > 1) {
     ++outcome_.overlapping_runs;
@@ -262,6 +313,9 @@
     options.silence_limit = std::chrono::hours(1);
     options.orphan_limit = std::chrono::hours(1);
   }
+  if (schedule_.mutation == fleet_mutation::kForgetCrashes) {
+    options.max_crash_records = 0;
+  }
   one.state = fleet::MakeEngine(options,
                                 {.incarnation = one.incarnation,
                                  .name = one.name,
@@ -652,19 +706,9 @@
       loop_.After(span, [this] { late_share_ = 0; });
       return;
     case 5:
-      if (!workers_[worker]->Up()) {
-        return;
+      if (workers_[worker]->Up()) {
+        CrashWorker(worker, span);
       }
-      workers_[worker]->Crash();
-      loop_.After(span,
-                  [this, worker,
-                   boot_time_ms = static_cast<int64_t>(outcome_.faults + 1)] {
-                    workers_[worker]->Begin(boot_time_ms);
-                    for (size_t at = 0; at < entries_.size(); ++at) {
-                      Do(at, entries_[at].incarnation,
-                         [this, at](fleet::engine&) { TellWorkers(at); });
-                    }
-                  });
       return;
     case 6:
       if (draining_.size() + 2 < workers_.size()) {
@@ -738,6 +782,8 @@
   false_not_run += other.false_not_run;
   starts_after_drain += other.starts_after_drain;
   partial_answers += other.partial_answers;
+  crash_loops += other.crash_loops;
+  crashes += other.crashes;
   unanswered += other.unanswered;
   envelopes += other.envelopes;
   max_contacts = std::max(max_contacts, other.max_contacts);
@@ -755,13 +801,14 @@
 }
 
 bool ParseMutation(const std::string& name, fleet_mutation& mutation) {
-  constexpr std::array<std::pair<const char*, fleet_mutation>, 6> kNames{{
+  constexpr std::array<std::pair<const char*, fleet_mutation>, 7> kNames{{
       {"none", fleet_mutation::kNone},
       {"no_fence_check", fleet_mutation::kNoFenceCheck},
       {"no_lease_wait", fleet_mutation::kNoLeaseWait},
       {"keep_silent_home", fleet_mutation::kKeepSilentHome},
       {"no_settling", fleet_mutation::kNoSettling},
       {"ignore_draining", fleet_mutation::kIgnoreDraining},
+      {"forget_crashes", fleet_mutation::kForgetCrashes},
   }};
   const auto* const at =
       std::find_if(kNames.begin(), kNames.end(),
--- a/packages/bench/fleet/fleet_sim.h
+++ b/packages/bench/fleet/fleet_sim.h
@@ -22,6 +22,8 @@
   kNoSettling,
   /// Entries start tasks at workers that are leaving.
   kIgnoreDraining,
+  /// Entries do not remember which tasks crashed workers.
+  kForgetCrashes,
 };
 
 /// One schedule.
@@ -40,6 +42,9 @@
   std::chrono::milliseconds length{5'000};
   /// Faults in that time.
   uint32_t faults = 4;
+  /// Every so many jobs one has a task that crashes each worker that starts it;
+  /// 0 for none.
+  uint32_t deadly_every = 0;
   fleet_mutation mutation = fleet_mutation::kNone;
   /// Prints the entries' log, the runs and the faults.
   bool trace = false;
@@ -62,6 +67,10 @@
   uint64_t starts_after_drain = 0;
   /// Answers "complete" with a task that is not done.
   uint64_t partial_answers = 0;
+  /// Tasks that were started three times more after three crashes.
+  uint64_t crash_loops = 0;
+  /// Workers that crashed under a task.
+  uint64_t crashes = 0;
   /// Jobs neither answered nor lost with their entry 3 s after their deadline.
   uint64_t unanswered = 0;
   /// Envelopes between entries, and the highest number of contacts of an entry
--- a/packages/bench/fleet/main.cc
+++ b/packages/bench/fleet/main.cc
@@ -77,16 +77,21 @@
 uint64_t Broken(const fleet_outcome& outcome) {
   return outcome.overlapping_runs + outcome.stale_orders +
          outcome.false_not_run + outcome.starts_after_drain +
-         outcome.partial_answers + outcome.unanswered;
+         outcome.partial_answers + outcome.crash_loops + outcome.unanswered;
 }
 
-/// Every eighth schedule has more entries than a full mesh, and every 16th has
-/// several controllers and standbys in each data centre besides.
+/// Every fourth schedule has tasks that crash workers, and its callers wait for
+/// long. Every eighth schedule has more entries than a full mesh, and every
+/// 16th has several controllers and standbys in each data centre besides.
 fleet_schedule MakeSchedule(uint64_t seed, const options& chosen) {
   constexpr uint64_t kLargeEvery = 8;
   constexpr uint64_t kTieredEvery = 16;
+  constexpr uint64_t kDeadlyEvery = 4;
   fleet_schedule made{
       .seed = seed, .mutation = chosen.mutation, .trace = chosen.trace};
+  if (seed % kDeadlyEvery == kDeadlyEvery - 1) {
+    made.deadly_every = 6;
+  }
   if (seed % kLargeEvery == 0) {
     made.entries = 18;
     made.workers = 12;
@@ -100,6 +105,7 @@
     made.workers_per_core = 16;
     made.jobs_per_second = 30;
     made.faults = 16;
+    made.deadly_every = 10;
   }
   return made;
 }
@@ -122,6 +128,7 @@
                     << " false_not_run=" << one.false_not_run
                     << " starts_after_drain=" << one.starts_after_drain
                     << " partial_answers=" << one.partial_answers
+                    << " crash_loops=" << one.crash_loops
                     << " unanswered=" << one.unanswered << '\n';
         }
       }
@@ -204,7 +211,11 @@
   met = none("fleet_false_not_run", sum.false_not_run) && met;
   met = none("starts_after_drain", sum.starts_after_drain) && met;
   met = none("fleet_partial_answers", sum.partial_answers) && met;
+  met = none("fleet_crash_loops", sum.crash_loops) && met;
   met = none("unanswered_jobs", sum.unanswered) && met;
+  PrintFigure({.name = "fleet_task_crashes",
+               .value = static_cast<double>(sum.crashes),
+               .kind = bound_kind::kNone});
   PrintFigure({.name = "fleet_served_share",
                .value = static_cast<double>(sum.served) /
                         static_cast<double>(std::max<uint64_t>(1, sum.jobs)),
--- a/packages/fleet/src/placement_cmd.cc
+++ b/packages/fleet/src/placement_cmd.cc
@@ -236,7 +236,7 @@
     }
   }
   const size_t limit =
-      std::max<size_t>(1, held / state.options.reservation_divisor);
+      held / state.options.reservation_divisor;
   if (best != nullptr && reserved < std::min(needed, limit)) {
     best->reserved_until = until;
   }
@@ -278,7 +278,8 @@
   }
   for (const queue_key& key : state.queue) {
     const part* const owner = state.parts.Find(key.part);
-    if (owner == nullptr) {
+    // Tasks that need a worker of their own delay no others.
+    if (owner == nullptr || owner->tasks[key.task].alone) {
       continue;
     }
     const auto at = table.find(owner->upstream);
