core: give up a task that breaks three connections in its attempts

Same class as the tasks that crash workers, in the product's own daemon: an idempotent job of one task is tried again after a lost outcome, as often as its contract allows (most_attempts, up to 10) and on another instance each time, so one request could crash ten. A broken connection, unlike a timeout, may be a crash; three of them end the job as task_outcome_unknown. Contracts with the default of three attempts see no change.

--- a/packages/core/include/tarragondrift/core/entry_base.h
+++ b/packages/core/include/tarragondrift/core/entry_base.h
@@ -88,6 +88,8 @@
   uint32_t attempts = 0;
   /// An earlier attempt may have run; its outcome was lost.
   bool earlier_outcome_unknown = false;
+  /// Attempts that ended with a broken connection.
+  uint32_t broken_attempts = 0;
   std::string body;
 };
 
--- a/packages/core/include/tarragondrift/core/job_base.h
+++ b/packages/core/include/tarragondrift/core/job_base.h
@@ -103,6 +103,9 @@
   std::string body;
   /// The instance reported that it is leaving.
   bool leaving = false;
+  /// The connection broke after the request was sent: the instance may have
+  /// crashed.
+  bool connection_broken = false;
 };
 
 }  // namespace tarragondrift
--- a/packages/core/src/job_cmd.cc
+++ b/packages/core/src/job_cmd.cc
@@ -106,6 +106,10 @@
              : result_code::kRefusedForNow;
 }
 
+/// Attempts of a task that may crash an instance each before it is given up,
+/// however many its contract allows.
+constexpr uint32_t kMaxBrokenAttempts = 3;
+
 /// Whether a task may be retried after its outcome was lost; spends from the
 /// retry budget if so.
 bool MayRetry(entry& state, const job& owner, const placement& failed) {
@@ -114,7 +118,8 @@
   }
   const job_task& task = owner.tasks[failed.task.task.number];
   const bool allowed = owner.terms.idempotent && owner.tasks.size() == 1 &&
-                       task.attempts < owner.terms.max_attempts;
+                       task.attempts < owner.terms.max_attempts &&
+                       task.broken_attempts < kMaxBrokenAttempts;
   return allowed && TakeRetry(state.dispatch);
 }
 
@@ -227,6 +232,7 @@
       break;
     case attempt_outcome::kUnknown:
       task.earlier_outcome_unknown = true;
+      task.broken_attempts += ended.connection_broken ? 1 : 0;
       if (MayRetry(state, owner, placed)) {
         Requeue(state, task, placed, now);
         break;
--- a/packages/core/test/job_test.cc
+++ b/packages/core/test/job_test.cc
@@ -119,6 +119,28 @@
   }
 }
 
+// Guards against one request that crashes an instance with each of its
+// attempts, in a contract that allows many.
+TEST_CASE("a task that breaks three connections is not tried again") {
+  entry state = MakeServingEntry(7);
+  state.dispatch.retries.balance = 10;
+  config_document config = *MakeConfig();
+  config.version = 2;
+  config.contracts[kBalance.index].max_attempts = 10;
+  ApplyEntryConfig(state, std::make_shared<const config_document>(config));
+  size_t attempts = 0;
+  actions out = Submit(state, MakeRequest(1, kBalance));
+  for (auto starts = Select<start_task>(out); !starts.empty();
+       starts = Select<start_task>(out)) {
+    ++attempts;
+    out.clear();
+    OnAttemptResult(state, starts[0].placed, {.connection_broken = true}, {},
+                    out);
+  }
+  CHECK(attempts == 3);
+  CHECK(OnlyCode(out) == result_code::kTaskOutcomeUnknown);
+}
+
 TEST_CASE("only a job of one idempotent task is retried") {
   entry state = MakeServingEntry(7);
   state.dispatch.retries.balance = 10;
--- a/packages/gate/src/upstream_attempt.cc
+++ b/packages/gate/src/upstream_attempt.cc
@@ -119,6 +119,7 @@
   }
   if (code != CURLE_OK) {
     ended.outcome = attempt_outcome::kUnknown;
+    ended.connection_broken = code != CURLE_OPERATION_TIMEDOUT;
     return ended;
   }
   long status = 0;  // NOLINT: libcurl's type
--- a/packages/gate/test/upstream_client_test.cc
+++ b/packages/gate/test/upstream_client_test.cc
@@ -38,8 +38,9 @@
   sequential_client client;
   CHECK(client.Run(server.Address(), "first#").outcome ==
         attempt_outcome::kSucceeded);
-  CHECK(client.Run(server.Address(), "second#").outcome ==
-        attempt_outcome::kUnknown);
+  const attempt_result second = client.Run(server.Address(), "second#");
+  CHECK(second.outcome == attempt_outcome::kUnknown);
+  CHECK(second.connection_broken);
   CHECK(server.Requests() == 2);
 }
 
