fleet: no start on a worker that lists a run of unknown size

A run that a delayed order started after its task had been settled is stopped when the worker lists it, but it was not counted, so the next start could exceed the capacity of a worker that does not check it, and was rejected by one that does. The list names no sizes, so nothing starts there until the run has ended. Tests: a worker that lists an unknown run gets no start until it has ended (failed before); a worker whose capacity has shrunk gets no start beyond it (passed before: listings replace the capacity and runs count until their end is listed).

--- a/packages/fleet/include/tarragondrift/fleet/fleet_options_base.h
+++ b/packages/fleet/include/tarragondrift/fleet/fleet_options_base.h
@@ -62,8 +62,8 @@
   size_t max_crash_records = 10'000;
   /// How long a worker stays reserved after a task that needs a worker of its
   /// own was last waiting, and the share of the held workers that may be
-  /// reserved, as a divisor. An entry with fewer workers reserves none, and such
-  /// tasks wait for one that is empty.
+  /// reserved, as a divisor. An entry with fewer workers reserves none, and
+  /// such tasks wait for one that is empty.
   milliseconds reservation{60};
   uint32_t reservation_divisor = 8;
 
--- a/packages/fleet/include/tarragondrift/fleet/worker_base.h
+++ b/packages/fleet/include/tarragondrift/fleet/worker_base.h
@@ -139,6 +139,9 @@
 
   std::map<run_name, task_run> runs;
   resources used;
+  /// Its last reply listed runs that are not in `runs`. What they use is not
+  /// known, so nothing starts until they have been stopped.
+  bool has_unknown_runs = false;
   /// The runs that were lost when it last fell silent.
   std::vector<silent_loss> lost_silently;
   /// Until then only tasks that need a worker of their own start on it.
--- a/packages/fleet/src/placement_cmd.cc
+++ b/packages/fleet/src/placement_cmd.cc
@@ -138,8 +138,9 @@
 }
 
 bool AcceptsStarts(const engine& state, const worker& candidate, instant now) {
-  if (candidate.phase != control_phase::kHeld || candidate.listing.draining ||
-      now < candidate.no_starts_until || now < candidate.health.ejected_until) {
+  if (candidate.phase != control_phase::kHeld || candidate.has_unknown_runs ||
+      candidate.listing.draining || now < candidate.no_starts_until ||
+      now < candidate.health.ejected_until) {
     return false;
   }
   if (!candidate.listed &&
@@ -235,8 +236,7 @@
       best = &candidate;
     }
   }
-  const size_t limit =
-      held / state.options.reservation_divisor;
+  const size_t limit = held / state.options.reservation_divisor;
   if (best != nullptr && reserved < std::min(needed, limit)) {
     best->reserved_until = until;
   }
--- a/packages/fleet/src/worker_cmd.cc
+++ b/packages/fleet/src/worker_cmd.cc
@@ -336,11 +336,13 @@
 void ReconcileRuns(engine& state, worker& one, const poll_reply& reply,
                    instant now) {
   std::set<run_name> listed;
+  one.has_unknown_runs = false;
   for (const listed_run& row : reply.running) {
     listed.insert(row.name);
     const auto at = one.runs.find(row.name);
     if (at == one.runs.end()) {
       // Left by an earlier controller, or started by a delayed order.
+      one.has_unknown_runs = true;
       state.out.emplace_back(stop_order{
           .target = TargetFor(one), .name = row.name, .fence = one.fence});
       continue;
--- a/packages/fleet/test/control_test.cc
+++ b/packages/fleet/test/control_test.cc
@@ -346,5 +346,69 @@
   CHECK_FALSE(state.workers.contains("w"));
 }
 
+// Guards against starts beside a run that an earlier order started late: it
+// still takes up capacity, and how much is not known.
+TEST_CASE_METHOD(
+    control_fixture,
+    "a worker that lists an unknown run gets no start until it has "
+    "ended") {
+  Advance(1'500ms);
+  AnswerPoll({.outcome = poll_outcome::kAnswered});
+  REQUIRE(state.workers.at("w").phase == control_phase::kHeld);
+  AnswerPoll({.outcome = poll_outcome::kAnswered,
+              .running = {{.name = {.task = {.job = "late"}, .run = 1}}}});
+  SubmitJob(state,
+            {.request = 7,
+             .queue = "q",
+             .spec = {.id = "j",
+                      .steps = {{.count = 1,
+                                 .need = {.cpu_milli = 16'000},
+                                 .estimate = 100ms}}},
+             .caller_timeout = 4s},
+            now);
+  Advance(20ms);
+  CHECK(starts.empty());
+  AnswerPoll({.outcome = poll_outcome::kAnswered});
+  Advance(20ms);
+  CHECK(starts.size() == 1);
+}
+
+TEST_CASE_METHOD(control_fixture,
+                 "a worker whose capacity has shrunk gets no start beyond it") {
+  Advance(1'500ms);
+  AnswerPoll({.outcome = poll_outcome::kAnswered});
+  const auto submit = [this](uint64_t request) {
+    SubmitJob(state,
+              {.request = request,
+               .queue = "q",
+               .spec = {.id = "job" + std::to_string(request),
+                        .steps = {{.count = 1,
+                                   .need = {.cpu_milli = 6'000},
+                                   .estimate = 100ms}}},
+               .caller_timeout = 4s},
+              now);
+    Advance(20ms);
+  };
+  submit(1);
+  REQUIRE(starts.size() == 1);
+  const run_name first = starts[0].name;
+  OnStartReply(state, "w", first, start_outcome::kAccepted, 1'000, now);
+  listing.capacity.cpu_milli = 10'000;
+  UpdateWorkerListing(state, listing, now);
+  submit(2);
+  CHECK(starts.size() == 1);
+  // What is being stopped still counts until its end is listed.
+  CancelJob(state, "job1", now);
+  Advance(20ms);
+  OnStopReply(state, "w", first, stop_outcome::kAcknowledged, 1'000, now);
+  submit(3);
+  CHECK(starts.size() == 1);
+  AnswerPoll(
+      {.outcome = poll_outcome::kAnswered,
+       .ended = {{.number = 1, .name = first, .how = run_end::kStopped}}});
+  submit(4);
+  CHECK(starts.size() == 2);
+}
+
 }  // namespace
 }  // namespace tarragondrift::fleet
