fleet: the number of a job's tasks does not overflow

Two steps of 2^31 tasks counted as none, passed the limit of 2,000 and took all memory. Test: a job of billions of tasks is refused; ran out of memory before (under a limit of 4 GB).

--- a/packages/fleet/src/admission_cmd.cc
+++ b/packages/fleet/src/admission_cmd.cc
@@ -1,6 +1,7 @@
 #include "tarragondrift/fleet/admission_cmd.h"
 
 #include <algorithm>
+#include <limits>
 
 #include "tarragondrift/fleet/peer_cmd.h"
 #include "tarragondrift/fleet/placement_cmd.h"
@@ -21,12 +22,14 @@
 /// running time; declared times are off by up to 40%.
 constexpr double kMinTimeoutShare = 0.6;
 
+/// Counts the tasks of a job, up to the maximum of the result.
 uint32_t CountTasks(const job_spec& job) {
-  uint32_t tasks = 0;
+  uint64_t tasks = 0;
   for (const step_spec& step : job.steps) {
     tasks += step.count;
   }
-  return tasks;
+  return static_cast<uint32_t>(
+      std::min<uint64_t>(tasks, std::numeric_limits<uint32_t>::max()));
 }
 
 /// Returns the age of the oldest load report that the spread relied on.
--- a/packages/fleet/test/admission_test.cc
+++ b/packages/fleet/test/admission_test.cc
@@ -154,5 +154,21 @@
   CHECK(starts.size() == 2);
 }
 
+// Guards against a count of tasks that overflows to a small number.
+TEST_CASE_METHOD(start_fixture, "a job of billions of tasks is refused") {
+  Advance(1'400ms);
+  const step_spec huge{
+      .count = 1U << 31U, .need = {.cpu_milli = 1}, .estimate = 60ms};
+  SubmitJob(state,
+            {.request = 1,
+             .queue = "q",
+             .spec = {.id = "huge", .steps = {huge, huge}},
+             .caller_timeout = 4s},
+            now);
+  Advance(20ms);
+  REQUIRE(answers.size() == 1);
+  CHECK(answers[0].code == result_code::kNotRunOverloaded);
+}
+
 }  // namespace
 }  // namespace tarragondrift::fleet
