--- a/packages/bench/fleet/fleet_sim.cc
+++ b/packages/bench/fleet/fleet_sim.cc
@@ -43,6 +43,8 @@
 constexpr milliseconds kStopTime{2'900};
 constexpr milliseconds kDrainLimit{2'000};
 constexpr uint32_t kMostTries = 3;
+/// How long a worker is down after a task has crashed it.
+constexpr milliseconds kDownTime{3'300};
 constexpr uint32_t kWorkerCpu = 16'000;
 constexpr uint32_t kEntryCpu = 250;
 constexpr uint32_t kStrongEntryCpu = 500;
@@ -250,7 +252,6 @@
 /// Crashes the worker of a deadly task soon after its start.
 void world::CountDeadlyStart(const fleet::task_name& task, size_t worker) {
   constexpr milliseconds kCrashDelay{10};
-  constexpr milliseconds kDownTime{3'300};
   constexpr uint32_t kCrashes = 3;
   constexpr uint32_t kMostStarts = 3;
   if (crashes_[task] >= kCrashes &&
