fleet: an old row of the worker list is not another restart

Found while the soak's workers crashed: a job without any deadly task was answered failed. A worker that restarted under its id was known by its own replies first; the row of its earlier process, which the list delivers later, looked like a restart, and so did the next reply. Each stopped all of its runs, and since the crash records counted against their tasks. Test: an old row of a restarted worker is not another crash; failed before with the job answered task_failed.

--- a/packages/fleet/src/worker_cmd.cc
+++ b/packages/fleet/src/worker_cmd.cc
@@ -478,11 +478,16 @@
   const bool was_draining = one.listing.draining;
   const int64_t boot_time_ms = one.listing.boot_time_ms;
   const bool moved = known && one.listing.address != listing.address;
+  // The row lags behind the worker's own replies, so it may name an earlier
+  // process.
+  const bool restarted =
+      known && boot_time_ms != 0 && listing.boot_time_ms > boot_time_ms;
   one.listing = listing;
   one.listed = true;
-  if (known && (moved || (boot_time_ms != 0 && listing.boot_time_ms != 0 &&
-                          boot_time_ms != listing.boot_time_ms))) {
+  if (known && boot_time_ms != 0) {
     one.listing.boot_time_ms = boot_time_ms;
+  }
+  if (moved || restarted) {
     HandleWorkerRestart(state, one, listing.boot_time_ms, now);
   }
   if (!known || was_draining != listing.draining) {
--- a/packages/fleet/test/crash_test.cc
+++ b/packages/fleet/test/crash_test.cc
@@ -423,5 +423,26 @@
   }
 }
 
+// Guards against rows of the worker list that are older than what the worker
+// itself has said: each one looked like another crash.
+TEST_CASE("an old row of a restarted worker is not another crash") {
+  crash_fixture one(1);
+  one.run_time = 700ms;
+  crashing_worker& host = one.workers.at("w0");
+  const worker_listing old = crash_fixture::Listing(host);
+  one.Crash(host);
+  host.up_again = one.now;
+  one.Advance(400ms);
+  one.Submit(1, "job", 1, 8s);
+  one.Advance(100ms);
+  const task_name task{.job = "job"};
+  REQUIRE(one.starts[task].size() == 1);
+  UpdateWorkerListing(one.state, old, one.now);
+  one.Advance(1s);
+  CHECK(one.starts[task].size() == 1);
+  CHECK(one.state.crashes.empty());
+  CHECK(one.answers[1].code == result_code::kOk);
+}
+
 }  // namespace
 }  // namespace tarragondrift::fleet
