--- a/packages/bench/fleet/fleet_sim.cc
+++ b/packages/bench/fleet/fleet_sim.cc
@@ -148,7 +148,8 @@
   void Trace(const std::string& who, const std::string& line) const;
   bool IsDeadly(const fleet::task_name& task) const;
   void CrashWorker(size_t worker, milliseconds down);
-  void CountDeadlyStart(const fleet::task_name& task, size_t worker);
+  void CountDeadlyStart(const fleet::task_name& task);
+  void EndByTask(const fleet::task_name& task, size_t worker);
   void Began(const fleet::run_name& name, size_t worker);
   void Ended(const fleet::run_name& name, fleet::run_end how);
 
@@ -205,7 +206,12 @@
                     .boot_time_ms = 1},
         .clock_speed = Fraction() < 0.5 ? 0.98 : 1.0,
         .slowness = 0.8 + 0.45 * Fraction(),
-        .checks_fences = schedule_.mutation != fleet_mutation::kNoFenceCheck};
+        .checks_fences = schedule_.mutation != fleet_mutation::kNoFenceCheck,
+        .after_start = [this, at](const fleet::run_name& name) {
+          if (IsDeadly(name.task)) {
+            EndByTask(name.task, at);
+          }
+        }};
     worker_by_id_[id] = at;
     workers_.push_back(std::make_unique<stand_in_worker>(
         options, loop_,
@@ -249,9 +255,7 @@
   });
 }
 
-/// Crashes the worker of a deadly task soon after its start.
-void world::CountDeadlyStart(const fleet::task_name& task, size_t worker) {
-  constexpr milliseconds kCrashDelay{10};
+void world::CountDeadlyStart(const fleet::task_name& task) {
   constexpr uint32_t kCrashes = 3;
   constexpr uint32_t kMostStarts = 3;
   if (crashes_[task] >= kCrashes &&
@@ -259,21 +263,19 @@
     ++outcome_.crash_loops;
     Trace("checks", "crash loop job=" + task.job);
   }
-  loop_.After(
-      kCrashDelay, [this, task, worker, life = workers_[worker]->Life()] {
-        if (workers_[worker]->Up() && workers_[worker]->Life() == life) {
-          ++crashes_[task];
-          ++outcome_.crashes;
-          Trace("worker" + std::to_string(worker), "crashed job=" + task.job);
-          CrashWorker(worker, kDownTime);
-        }
-      });
+}
+
+void world::EndByTask(const fleet::task_name& task, size_t worker) {
+  ++crashes_[task];
+  ++outcome_.crashes;
+  Trace("worker" + std::to_string(worker), "crashed job=" + task.job);
+  CrashWorker(worker, kDownTime);
 }
 
 void world::Began(const fleet::run_name& name, size_t worker) {
   ++outcome_.starts;
   if (IsDeadly(name.task)) {
-    CountDeadlyStart(name.task, worker);
+    CountDeadlyStart(name.task);
   }
   Trace("worker" + std::to_string(worker), "began " + TextOf(name));
   if (++active_[name.task] > 1) {
--- a/packages/bench/fleet/stand_in_worker.cc
+++ b/packages/bench/fleet/stand_in_worker.cc
@@ -89,6 +89,14 @@
   const uint64_t number = ++last_number_;
   running_[order.name] = {.need = need, .number = number};
   watch_.began(order.name);
+  if (options_.after_start) {
+    constexpr milliseconds kStartTime{10};
+    loop_.After(kStartTime, [this, life = life_, name = order.name] {
+      if (life == life_ && up_) {
+        options_.after_start(name);
+      }
+    });
+  }
   const auto work = std::chrono::duration_cast<std::chrono::microseconds>(
       work_of_(order.name.task) * options_.slowness);
   loop_.After(work, [this, life = life_, name = order.name, number] {
--- a/packages/bench/fleet/stand_in_worker.h
+++ b/packages/bench/fleet/stand_in_worker.h
@@ -31,6 +31,9 @@
   /// False breaks a rule on purpose: lower fences are obeyed.
   bool checks_fences = true;
   std::chrono::milliseconds longest_lease{1'000};
+  /// Called soon after the start of each run, if the worker still runs it; may
+  /// crash the worker. Unset for none.
+  std::function<void(const fleet::run_name&)> after_start;
 };
 
 /// One worker; its running times come from `work_of`.
