fleet: a start that another process refused is no crash under its task

A worker that restarts while it is idle is met by the next start, which its new process refuses. The refused run was still among the worker's runs when the restart was recorded, so a task that never ran was suspected, and would have been given up after a second such start. It goes back to the queue first now. Found by reading the change; test: a start that another process refused is not a crash; failed before.

--- a/packages/fleet/src/worker_cmd.cc
+++ b/packages/fleet/src/worker_cmd.cc
@@ -614,6 +614,8 @@
       RequeueRun(state, one, name, now);
       return;
     case start_outcome::kOtherIncarnation:
+      // This run never began, so the restart does not count against its task.
+      RequeueRun(state, one, name, now);
       HandleRejection(state, one, false, true, now);
       return;
     case start_outcome::kNoCapacity:
--- a/packages/fleet/test/crash_test.cc
+++ b/packages/fleet/test/crash_test.cc
@@ -444,5 +444,23 @@
   CHECK(one.answers[1].code == result_code::kOk);
 }
 
+// Guards against the blame of a task that never ran: a worker restarted while
+// it was idle, and the next start met its new process.
+TEST_CASE("a start that another process refused is not a crash") {
+  crash_fixture one(1);
+  one.Submit(1, "job", 1, 8s);
+  DispatchAndFlush(one.state, one.now);
+  const std::vector<action> taken = TakeActions(one.state);
+  const auto order =
+      std::find_if(taken.begin(), taken.end(), [](const action& any) {
+        return std::holds_alternative<start_order>(any);
+      });
+  REQUIRE(order != taken.end());
+  OnStartReply(one.state, "w0", std::get<start_order>(*order).name,
+               start_outcome::kOtherIncarnation, 1'000, one.now);
+  CHECK(one.state.crashes.empty());
+  CHECK(one.state.queue.size() == 1);
+}
+
 }  // namespace
 }  // namespace tarragondrift::fleet
