fleet: a broken connection shows how long a worker lived

A poll that fails before its timeout broke with the process; until then the worker was alive. Test: a worker whose connection breaks later survived the start; failed before.

--- a/packages/bench/fleet/stand_in_worker.cc
+++ b/packages/bench/fleet/stand_in_worker.cc
@@ -177,6 +177,9 @@
   ++life_;
   const auto running = std::exchange(running_, {});
   for (const auto& [name, one] : running) {
+    if (watch_.crashed) {
+      watch_.crashed(name);
+    }
     watch_.ended(name, run_end::kLeaseExpired);
   }
   ended_.clear();
--- a/packages/bench/fleet/stand_in_worker.h
+++ b/packages/bench/fleet/stand_in_worker.h
@@ -19,6 +19,8 @@
 struct run_watch {
   std::function<void(const fleet::run_name&)> began;
   std::function<void(const fleet::run_name&, fleet::run_end)> ended;
+  /// Reports a run that ends with a crash, before `ended`; may be unset.
+  std::function<void(const fleet::run_name&)> crashed;
 };
 
 /// How a stand-in behaves.
--- a/packages/fleet/include/tarragondrift/fleet/worker_base.h
+++ b/packages/fleet/include/tarragondrift/fleet/worker_base.h
@@ -80,7 +80,7 @@
 /// crashed.
 struct silent_loss {
   task_name task;
-  /// The worker had replied well after the start of the run.
+  /// The worker was alive well after the start of the run.
   bool survived = false;
 };
 
@@ -125,10 +125,14 @@
   instant last_heard;
   bool poll_in_flight = false;
   instant poll_sent;
+  std::chrono::milliseconds poll_wait{0};
   /// Polls without a reply since `last_heard`, and whether the worker's address
   /// refused a connection since then.
   uint32_t failed_polls = 0;
   bool refused = false;
+  /// Until when it is known to have been alive: `last_heard`, or when its
+  /// connection broke under a poll.
+  instant last_alive;
   /// `lease_expiry` before and after the newest poll was ordered.
   instant lease_before_poll;
   instant lease_after_poll;
--- a/packages/fleet/src/crash_cmd.cc
+++ b/packages/fleet/src/crash_cmd.cc
@@ -16,8 +16,8 @@
 /// Crashes after which a task is given up if its start was all that the worker
 /// had to do in the last one.
 constexpr uint32_t kCrashesToConfirm = 2;
-/// A worker that replied this long after it was ordered to start a run was not
-/// crashed by that start.
+/// A worker that was alive this long after it was ordered to start a run was
+/// not crashed by that start.
 constexpr milliseconds kStartSurvived{100};
 /// Workers that must fall silent together for a network partition of this entry
 /// to be the likely cause, and within which time.
@@ -67,7 +67,7 @@
       .With("evidence", DescribeEvidence(evidence))
       .With("runs", static_cast<int64_t>(lost.runs.size()))
       .With("ordered_ms_ago", age_ms(run.ordered))
-      .With("heard_ms_ago", age_ms(lost.last_heard))
+      .With("alive_ms_ago", age_ms(lost.last_alive))
       .With("crashes", static_cast<int64_t>(record.crashes))
       .With("suspect", record.suspect ? "yes" : "no")
       .With("confirmed", record.confirmed ? "yes" : "no");
@@ -86,7 +86,7 @@
 }
 
 /// Counts a crash of a worker that ran a task.
-/// @param survived whether the worker had replied well after the task's start.
+/// @param survived whether the worker was alive well after the task's start.
 void CountCrash(engine& state, const task_name& task, bool alone, bool survived,
                 instant now) {
   if (!state.crashes.contains(task) &&
@@ -120,7 +120,7 @@
   state.counts.runs_lost += lost.runs.size();
   lost.lost_silently.clear();
   for (const auto& [name, run] : lost.runs) {
-    const bool survived = lost.last_heard - run.ordered > kStartSurvived;
+    const bool survived = lost.last_alive - run.ordered > kStartSurvived;
     if (evidence == loss_evidence::kSilent) {
       lost.lost_silently.push_back({.task = name.task, .survived = survived});
     } else {
--- a/packages/fleet/src/worker_cmd.cc
+++ b/packages/fleet/src/worker_cmd.cc
@@ -64,6 +64,11 @@
                                                                   : "no_reply";
     LogReachability(state, one, "worker_unreachable", cause, now);
   }
+  if (one.failed_polls == 0 && outcome == poll_outcome::kUnknown &&
+      now - one.poll_sent < one.poll_wait + state.options.poll_timeout) {
+    // No timeout: the connection broke, at the moment of a crash.
+    one.last_alive = now;
+  }
   ++one.failed_polls;
   one.refused = one.refused || refused;
   const bool extended_since = one.lease_expiry != one.lease_after_poll;
@@ -82,6 +87,7 @@
   one.refused = false;
   one.lost_silently.clear();
   one.last_heard = now;
+  one.last_alive = now;
   if (clock_ms > 0) {
     one.clock_ms = clock_ms;
     one.clock_read = now;
@@ -106,6 +112,7 @@
   one.lease_after_poll = one.lease_expiry;
   one.poll_in_flight = true;
   one.poll_sent = now;
+  one.poll_wait = wait;
   state.out.emplace_back(std::move(order));
 }
 
--- a/packages/fleet/test/crash_test.cc
+++ b/packages/fleet/test/crash_test.cc
@@ -462,5 +462,25 @@
   CHECK(one.state.queue.size() == 1);
 }
 
+// Guards against the blame of a task that a worker ran in silence for a while
+// before it crashed for another reason (soak seed 1021).
+TEST_CASE_METHOD(crash_fixture,
+                 "a worker whose connection breaks later survived the start") {
+  run_time = 700ms;
+  Submit(1, "job", 1, 8s);
+  Advance(20ms);
+  const task_name task{.job = "job"};
+  const std::string id = starts[task].at(0);
+  worker& host = state.workers.at(id);
+  // The open poll breaks 200 ms after the start, without a reply in between.
+  polls.clear();
+  now = now + 200ms;
+  Crash(workers.at(id));
+  OnPollReply(state, id, host.poll_number, {}, 0, now);
+  Advance(1'200ms);
+  REQUIRE(state.crashes.contains(task));
+  CHECK_FALSE(MustRunAlone(state, task));
+}
+
 }  // namespace
 }  // namespace tarragondrift::fleet
