fleet: runs that a restarted worker reports were not lost in its crash

A worker that restarts at once under its own id and address accepts starts before its restart is known; the reply that shows the restart lists these runs, and all runs were counted as lost. Runs that the reply lists as running or ended are left out of the count now. They are still stopped, as before. Test: a run that the restarted worker lists was not lost; failed before.

--- a/packages/fleet/include/tarragondrift/fleet/worker_base.h
+++ b/packages/fleet/include/tarragondrift/fleet/worker_base.h
@@ -74,6 +74,8 @@
   uint32_t percent = 0;
   /// Nothing else starts on the worker meanwhile.
   bool alone = false;
+  /// Started by the process that the worker restarted as.
+  bool after_restart = false;
 };
 
 /// A run whose worker fell silent, for the case that it turns out to have
--- a/packages/fleet/src/crash_cmd.cc
+++ b/packages/fleet/src/crash_cmd.cc
@@ -119,12 +119,18 @@
   ++state.counts.workers_lost_with_runs;
   state.counts.runs_lost += lost.runs.size();
   lost.lost_silently.clear();
+  const auto lost_runs = std::count_if(
+      lost.runs.begin(), lost.runs.end(),
+      [](const auto& entry) { return !entry.second.after_restart; });
   for (const auto& [name, run] : lost.runs) {
+    if (run.after_restart) {
+      continue;
+    }
     const bool survived = lost.last_alive - run.ordered > kStartSurvived;
     if (evidence == loss_evidence::kSilent) {
       lost.lost_silently.push_back({.task = name.task, .survived = survived});
     } else {
-      CountCrash(state, name.task, lost.runs.size() == 1, survived, now);
+      CountCrash(state, name.task, lost_runs == 1, survived, now);
     }
     LogLostRun(state, lost, name, run, evidence, now);
   }
--- a/packages/fleet/src/worker_cmd.cc
+++ b/packages/fleet/src/worker_cmd.cc
@@ -158,6 +158,22 @@
   SetPhase(state, one, control_phase::kNotControlled, "worker_lost", cause);
 }
 
+/// Marks the runs that the restarted worker reports: it started them itself.
+void MarkRunsAfterRestart(worker& one, const poll_reply& reply) {
+  const auto mark = [&one](const run_name& name) {
+    const auto at = one.runs.find(name);
+    if (at != one.runs.end()) {
+      at->second.after_restart = true;
+    }
+  };
+  for (const listed_run& row : reply.running) {
+    mark(row.name);
+  }
+  for (const listed_end& row : reply.ended) {
+    mark(row.name);
+  }
+}
+
 /// Handles a restart of a worker, which ends everything that ran before it.
 void HandleWorkerRestart(engine& state, worker& one, int64_t boot_time_ms,
                          instant now) {
@@ -700,6 +716,7 @@
   }
   if (reply.boot_time_ms != 0 && one.listing.boot_time_ms != 0 &&
       reply.boot_time_ms != one.listing.boot_time_ms) {
+    MarkRunsAfterRestart(one, reply);
     HandleWorkerRestart(state, one, reply.boot_time_ms, now);
   }
   RecordReply(state, one, clock_ms, now);
--- a/packages/fleet/test/crash_test.cc
+++ b/packages/fleet/test/crash_test.cc
@@ -482,5 +482,23 @@
   CHECK_FALSE(MustRunAlone(state, task));
 }
 
+// Guards against the blame of a task that was started by the new process of a
+// worker before its restart was known (soak seed 1046).
+TEST_CASE("a run that the restarted worker lists was not lost") {
+  crash_fixture one(1);
+  one.run_time = 700ms;
+  crashing_worker& host = one.workers.at("w0");
+  one.Crash(host);
+  host.up_again = one.now;
+  for (crash_fixture::due_poll& poll : one.polls) {
+    poll.at = one.now + 20ms;
+  }
+  one.Submit(1, "job", 1, 8s);
+  one.Advance(100ms);
+  REQUIRE_FALSE(one.starts[{.job = "job"}].empty());
+  REQUIRE(one.state.workers.at("w0").listing.boot_time_ms == 2);
+  CHECK(one.state.crashes.empty());
+}
+
 }  // namespace
 }  // namespace tarragondrift::fleet
