daemon: show configurations on their way and the age of waiting work

Now per entry: the version heard and applied by source and the version used, with ages, as metrics; lines config_heard, config_in_force (wait_ms) and config_used; the age of the oldest work for the engine thread as a metric, and a line engine_behind above 250 ms. No decision changes.

--- a/packages/daemon/src/fleet_process.cc
+++ b/packages/daemon/src/fleet_process.cc
@@ -100,7 +100,7 @@
 }
 
 fleet_process::~fleet_process() {
-  mailbox_.Close();
+  queue_.Close();
   if (thread_.joinable()) {
     thread_.join();
   }
@@ -121,7 +121,8 @@
                                       *http_);
   rows_ = platform::MakeStorePort({.address = settings_.store}, *http_);
   own_rows_ = std::make_unique<entry_rows>(
-      settings_.instance, rows_, [this](step work) { Post(std::move(work)); });
+      settings_.instance, rows_,
+      [this](engine_step work) { Post(std::move(work)); });
   MakeFollowers();
 
   const std::string peers =
@@ -151,7 +152,10 @@
   auto metrics_page = http_server::Start(
       {.address = metrics_address, .most_connections = 20},
       [this](const server_request&) {
-        return server_response{.body = metrics_.Render(),
+        const instant now = Now();
+        return server_response{.body = metrics_.Render() +
+                                       config_progress_.Render(now) +
+                                       queue_.Render(now),
                                .content_type = "text/plain; version=0.0.4"};
       });
   if (!metrics_page) {
@@ -170,7 +174,7 @@
 }
 
 void fleet_process::MakeFollowers() {
-  const auto run = [this](step work) { Post(std::move(work)); };
+  const auto run = [this](engine_step work) { Post(std::move(work)); };
   operator_follower_ = std::make_unique<table_follower>(
       table_follower_options{.table = platform::kConfigTable}, rows_, run,
       [this](const fleet::row_change& row, instant) { OnOperatorRow(row); });
@@ -213,14 +217,15 @@
 void fleet_process::Loop() {
   next_tick_ = Now();
   engine_.started = next_tick_;
-  while (!mailbox_.Closed()) {
-    const std::vector<step> work = mailbox_.TakeUntil(ToSteady(next_tick_));
+  while (!queue_.Closed()) {
+    const std::vector<posted_step> work = queue_.TakeUntil(next_tick_);
     const instant now = Now();
     if (joined_.load() != 0) {
       fleet::DetectProcessPause(engine_, now);
     }
-    for (const step& run_step : work) {
-      run_step(now);
+    for (const posted_step& step : work) {
+      step_posted_ = step.posted;
+      step.run(now);
     }
     if (now >= next_tick_) {
       next_tick_ = now + kTickInterval;
@@ -230,6 +235,7 @@
       fleet::DispatchAndFlush(engine_, now);
     }
     Execute(now);
+    queue_.EndBatch(Now());
     if (stop_started_ && IsStopComplete(now)) {
       return;
     }
--- a/packages/daemon/src/fleet_process.h
+++ b/packages/daemon/src/fleet_process.h
@@ -15,10 +15,12 @@
 #include <unordered_map>
 #include <vector>
 
+#include "clock.h"
+#include "config_progress.h"
+#include "engine_queue.h"
 #include "entry_rows.h"
 #include "fleet_metrics.h"
 #include "log_limiter.h"
-#include "mailbox.h"
 #include "platform/boot_settings.h"
 #include "table_follower.h"
 #include "tarragondrift/fleet/engine_cmd.h"
@@ -65,10 +67,7 @@
   void Wait();
 
  private:
-  /// Work for the engine thread, called with the time of its loop iteration.
-  using step = std::function<void(instant)>;
-
-  void Post(step work) { mailbox_.Push(std::move(work)); }
+  void Post(engine_step work) { queue_.Post(std::move(work), Now()); }
   void Loop();
   void TickAll(instant now);
   void JoinOnceNumbered(instant now);
@@ -85,7 +84,7 @@
   void OnOperatorRow(const fleet::row_change& row);
   void ConfirmEvacuationRows(instant now);
   void CheckOperatorTableAge(instant now);
-  void OnConfigText(const std::string& text, const char* source);
+  void OnConfigText(const std::string& text, config_source source);
   void OnWorkerRow(const fleet::row_change& row, instant now);
   void OnEntryRow(const fleet::row_change& row, instant now);
   bool OnPeerEnvelope(fleet::envelope received);
@@ -102,7 +101,10 @@
   std::string settings_text_;
   fleet_process_options options_;
 
-  mailbox<step> mailbox_;
+  engine_queue queue_;
+  config_progress config_progress_;
+  /// When the step that the engine thread is running was posted.
+  instant step_posted_;
   fleet::engine engine_;
   /// The incarnation number once this entry has joined, 0 before.
   std::atomic<uint64_t> joined_{0};
--- a/packages/daemon/src/fleet_process_io.cc
+++ b/packages/daemon/src/fleet_process_io.cc
@@ -49,6 +49,7 @@
     refuse(result_code::kNotRunNoConfig);
     return;
   }
+  config_progress_.Used(config->version, Now());
   const fleet::queue_config* const queue =
       fleet::FindQueue(*config, request.host, request.path);
   if (queue == nullptr) {
@@ -117,7 +118,7 @@
 
 void fleet_process::OnOperatorRow(const fleet::row_change& row) {
   if (row.key == platform::kConfigKey && !row.removed) {
-    OnConfigText(row.value, "store");
+    OnConfigText(row.value, config_source::kStore);
   }
   const auto data_centre = platform::ParseEvacuationKey(row.key);
   if (!data_centre) {
@@ -144,15 +145,20 @@
   }
 }
 
-void fleet_process::OnConfigText(const std::string& text, const char* source) {
+void fleet_process::OnConfigText(const std::string& text,
+                                 config_source source) {
   const auto parsed = platform::ParseOperatorConfig(text);
   if (!parsed) {
-    log_event(log_level::kWarning, "config_unreadable").With("source", source);
+    log_event(log_level::kWarning, "config_unreadable")
+        .With("source", DescribeSource(source));
     return;
   }
   auto updated = std::make_shared<const fleet::fleet_config>(parsed.value());
+  const uint64_t version = updated->version;
+  config_progress_.Heard(source, version, step_posted_);
   if (fleet::ApplyConfig(engine_, updated, text)) {
     config_.store(std::move(updated));
+    config_progress_.Applied(source, version, step_posted_, Now());
   }
 }
 
@@ -190,7 +196,7 @@
   Post([this, received = std::move(received)](instant now) {
     for (const fleet::peer_message& message : received.messages) {
       if (const auto* update = std::get_if<fleet::config_update>(&message)) {
-        OnConfigText(update->text, "peer");
+        OnConfigText(update->text, config_source::kPeer);
       }
     }
     fleet::OnEnvelope(engine_, received, now);
--- a/packages/daemon/src/mailbox.h
+++ b/packages/daemon/src/mailbox.h
@@ -42,6 +42,15 @@
     return std::exchange(messages_, {});
   }
 
+  /// Calls `visit` with the oldest queued message, if there is one.
+  template <class Visitor>
+  void VisitOldest(Visitor visit) const {
+    const std::scoped_lock lock(mutex_);
+    if (!messages_.empty()) {
+      visit(messages_.front());
+    }
+  }
+
   /// Ends current and later waits.
   void Close() {
     {
