daemon: routes go by a configuration as soon as it has arrived

Only the engine thread parsed and published a configuration, from the end of a queue whose age nothing bounds, and only its tick began the next poll of the store. An entry with too little processor time, or whose engine thread is blocked, went on by the old version.

operator_watch follows the operator's table on its own thread, takes peers' texts on the link's thread and publishes the newest version; the engine adopts it, and the evacuations, before each step. A peer's text that is not newer is no longer parsed.

--- a/packages/daemon/src/fleet_process.cc
+++ b/packages/daemon/src/fleet_process.cc
@@ -11,7 +11,6 @@
 #include "clock.h"
 #include "logging.h"
 #include "platform/job_requests.h"
-#include "platform/operator_config.h"
 #include "platform/runner_calls.h"
 #include "platform/runner_listing.h"
 #include "platform/store_calls.h"
@@ -104,6 +103,9 @@
   if (thread_.joinable()) {
     thread_.join();
   }
+  if (operator_watch_) {
+    operator_watch_->Stop();
+  }
 }
 
 bool fleet_process::Start() {
@@ -169,15 +171,19 @@
     return log_listen_failure("callers", settings_.callers);
   }
   callers_ = std::move(callers).value();
+  operator_watch_->Start();
   thread_ = std::thread([this] { Loop(); });
   return true;
 }
 
 void fleet_process::MakeFollowers() {
   const auto run = [this](engine_step work) { Post(std::move(work)); };
-  operator_follower_ = std::make_unique<table_follower>(
-      table_follower_options{.table = platform::kConfigTable}, rows_, run,
-      [this](const fleet::row_change& row, instant) { OnOperatorRow(row); });
+  operator_watch_ = std::make_unique<operator_watch>(
+      platform::MakeStorePort({.address = settings_.store}, *http_),
+      config_progress_, [this] {
+        // An empty step ends the wait of the engine thread.
+        Post([](instant) {});
+      });
   worker_follower_ = std::make_unique<table_follower>(
       table_follower_options{.table = platform::kRunnerTable,
                              .batch_pause = kWorkerBatchPause},
@@ -224,7 +230,9 @@
       fleet::DetectProcessPause(engine_, now);
     }
     for (const posted_step& step : work) {
-      step_posted_ = step.posted;
+      // A step may be long, and a request that it submits may have been routed
+      // by a configuration that arrived meanwhile.
+      AdoptOperatorChanges(now);
       step.run(now);
     }
     if (now >= next_tick_) {
@@ -244,7 +252,6 @@
 
 void fleet_process::TickAll(instant now) {
   own_rows_->Tick(now);
-  operator_follower_->Tick(now);
   worker_follower_->Tick(now);
   entry_follower_->Tick(now);
   CheckSettingsFile(now);
@@ -271,10 +278,7 @@
 }
 
 void fleet_process::CheckOperatorTableAge(instant now) {
-  if (operator_follower_->IsHealthy()) {
-    operator_table_read_ = now;
-  }
-  const auto age = now - operator_table_read_;
+  const auto age = now - operator_watch_->LastRead();
   const bool stale = age > kMaxOperatorTableAge;
   if (stale == std::exchange(operator_table_stale_, stale)) {
     return;
@@ -316,7 +320,7 @@
 void fleet_process::AnswerEarlyRequests(instant now) {
   if (now - engine_.started >= engine_.options.startup_hold) {
     accepts_early_requests_.store(false);
-  } else if (config_.load() == nullptr) {
+  } else if (operator_watch_->Config() == nullptr) {
     return;
   }
   for (const held_request& request : std::exchange(early_requests_, {})) {
@@ -362,6 +366,8 @@
       .With("changed", updated == settings_ ? "no" : "yes");
   if (updated.store != settings_.store) {
     rows_ = platform::MakeStorePort({.address = updated.store}, *http_);
+    operator_watch_->ReplaceStore(
+        platform::MakeStorePort({.address = updated.store}, *http_));
   }
   // Addresses that the process listens on stay until it is restarted.
   settings_.store = updated.store;
--- a/packages/daemon/src/fleet_process.h
+++ b/packages/daemon/src/fleet_process.h
@@ -9,7 +9,6 @@
 #include <functional>
 #include <memory>
 #include <optional>
-#include <set>
 #include <string>
 #include <thread>
 #include <unordered_map>
@@ -21,6 +20,7 @@
 #include "entry_rows.h"
 #include "fleet_metrics.h"
 #include "log_limiter.h"
+#include "operator_watch.h"
 #include "platform/boot_settings.h"
 #include "table_follower.h"
 #include "tarragondrift/fleet/engine_cmd.h"
@@ -81,10 +81,9 @@
   void OnRequest(const held_request& request);
   void OnSubmit(const held_request& request, const fleet::queue_config& queue,
                 std::string id);
-  void OnOperatorRow(const fleet::row_change& row);
+  void AdoptOperatorChanges(instant now);
   void ConfirmEvacuationRows(instant now);
   void CheckOperatorTableAge(instant now);
-  void OnConfigText(const std::string& text, config_source source);
   void OnWorkerRow(const fleet::row_change& row, instant now);
   void OnEntryRow(const fleet::row_change& row, instant now);
   bool OnPeerEnvelope(fleet::envelope received);
@@ -103,20 +102,14 @@
 
   engine_queue queue_;
   config_progress config_progress_;
-  /// When the step that the engine thread is running was posted.
-  instant step_posted_;
   fleet::engine engine_;
   /// The incarnation number once this entry has joined, 0 before.
   std::atomic<uint64_t> joined_{0};
   std::atomic<bool> ready_{false};
-  /// Read by the thread of the callers' server without a lock.
-  std::atomic<std::shared_ptr<const fleet::fleet_config>> config_;
-
-  /// Data centres that the operator's table names as evacuated.
-  std::set<std::string> evacuated_;
-  /// When the operator's table was last known to be up to date, and whether
-  /// the log says that this is long ago.
-  instant operator_table_read_;
+  /// Revision of the operator's changes that the engine goes by.
+  uint64_t adopted_revision_ = 0;
+  /// Whether the log says that the operator's table was last known to be up to
+  /// date long ago.
   bool operator_table_stale_ = false;
 
   /// Requests that arrived before the first configuration.
@@ -136,7 +129,7 @@
   std::unique_ptr<fleet::row_port> rows_;
   std::unique_ptr<fleet::worker_port> workers_;
   std::unique_ptr<entry_rows> own_rows_;
-  std::unique_ptr<table_follower> operator_follower_;
+  std::unique_ptr<operator_watch> operator_watch_;
   std::unique_ptr<table_follower> worker_follower_;
   std::unique_ptr<table_follower> entry_follower_;
 
--- a/packages/daemon/src/fleet_process_io.cc
+++ b/packages/daemon/src/fleet_process_io.cc
@@ -8,7 +8,6 @@
 #include "fleet_process.h"
 #include "logging.h"
 #include "platform/job_requests.h"
-#include "platform/operator_config.h"
 #include "platform/runner_listing.h"
 #include "tarragondrift/fleet/caller_cmd.h"
 #include "tarragondrift/fleet/evacuation_cmd.h"
@@ -40,23 +39,24 @@
                                  PromisesNotRun(code) ? kRefusalRetryAfter
                                                       : milliseconds{0}));
   };
-  const std::shared_ptr<const fleet::fleet_config> config = config_.load();
-  if (config == nullptr && accepts_early_requests_.load()) {
+  const std::shared_ptr<const known_config> known = operator_watch_->Config();
+  if (known == nullptr && accepts_early_requests_.load()) {
     Post([this, request](instant) { early_requests_.push_back(request); });
     return;
   }
-  if (config == nullptr) {
+  if (known == nullptr) {
     refuse(result_code::kNotRunNoConfig);
     return;
   }
-  config_progress_.Used(config->version, Now());
+  const fleet::fleet_config& config = known->config;
+  config_progress_.Used(config.version, Now());
   const fleet::queue_config* const queue =
-      fleet::FindQueue(*config, request.host, request.path);
+      fleet::FindQueue(config, request.host, request.path);
   if (queue == nullptr) {
     callers_->Respond(number, ToResponse(platform::NoQueueReply(), {}));
     return;
   }
-  if (request.too_large || request.body.size() > config->max_body_bytes) {
+  if (request.too_large || request.body.size() > config.max_body_bytes) {
     refuse(result_code::kRequestTooLarge);
     return;
   }
@@ -116,49 +116,23 @@
   });
 }
 
-void fleet_process::OnOperatorRow(const fleet::row_change& row) {
-  if (row.key == platform::kConfigKey && !row.removed) {
-    OnConfigText(row.value, config_source::kStore);
-  }
-  const auto data_centre = platform::ParseEvacuationKey(row.key);
-  if (!data_centre) {
+void fleet_process::AdoptOperatorChanges(instant now) {
+  const uint64_t revision = operator_watch_->Revision();
+  if (revision == std::exchange(adopted_revision_, revision)) {
     return;
   }
-  if (row.removed) {
-    evacuated_.erase(*data_centre);
-  } else if (platform::IsEvacuationRequest(row.value)) {
-    evacuated_.insert(*data_centre);
-  } else {
-    log_event(log_level::kWarning, "evacuation_unreadable")
-        .With("key_bytes", static_cast<int64_t>(row.key.size()));
+  const auto known = operator_watch_->Config();
+  if (known != nullptr &&
+      fleet::ApplyConfig(engine_, {known, &known->config}, known->text)) {
+    config_progress_.Applied(known->source, known->config.version, known->heard,
+                             Now());
   }
+  ConfirmEvacuationRows(now);
 }
 
 void fleet_process::ConfirmEvacuationRows(instant now) {
-  // Before the first list is complete, and while a list is read again, rows may
-  // be missing.
-  if (operator_follower_->HasListed()) {
-    fleet::ConfirmEvacuations(
-        engine_,
-        {.version = operator_follower_->Version(), .data_centres = evacuated_},
-        now);
-  }
-}
-
-void fleet_process::OnConfigText(const std::string& text,
-                                 config_source source) {
-  const auto parsed = platform::ParseOperatorConfig(text);
-  if (!parsed) {
-    log_event(log_level::kWarning, "config_unreadable")
-        .With("source", DescribeSource(source));
-    return;
-  }
-  auto updated = std::make_shared<const fleet::fleet_config>(parsed.value());
-  const uint64_t version = updated->version;
-  config_progress_.Heard(source, version, step_posted_);
-  if (fleet::ApplyConfig(engine_, updated, text)) {
-    config_.store(std::move(updated));
-    config_progress_.Applied(source, version, step_posted_, Now());
+  if (const auto table = operator_watch_->Evacuations()) {
+    fleet::ConfirmEvacuations(engine_, *table, now);
   }
 }
 
@@ -193,12 +167,12 @@
   if (received.to != joined_.load()) {
     return false;
   }
-  Post([this, received = std::move(received)](instant now) {
-    for (const fleet::peer_message& message : received.messages) {
-      if (const auto* update = std::get_if<fleet::config_update>(&message)) {
-        OnConfigText(update->text, config_source::kPeer);
-      }
+  for (const fleet::peer_message& message : received.messages) {
+    if (const auto* update = std::get_if<fleet::config_update>(&message)) {
+      operator_watch_->OfferConfig(update->version, update->text, Now());
     }
+  }
+  Post([this, received = std::move(received)](instant now) {
     fleet::OnEnvelope(engine_, received, now);
   });
   return true;
--- a/packages/daemon/src/table_follower.h
+++ b/packages/daemon/src/table_follower.h
@@ -6,6 +6,7 @@
 #include <cstdint>
 #include <functional>
 #include <memory>
+#include <optional>
 #include <set>
 #include <string>
 #include <vector>
@@ -47,6 +48,12 @@
   /// Starts the next call if it is due and no call is in flight.
   void Tick(instant now);
 
+  /// Returns when the next call is due, or nothing while one is in flight or
+  /// following is paused.
+  std::optional<instant> NextCall() const {
+    return active_ && !in_flight_ ? std::optional(next_call_) : std::nullopt;
+  }
+
   /// Pauses or resumes following; active at first. The rows known so far stay
   /// until the list that a resumption begins with is complete.
   void SetActive(bool active, instant now);
