daemon: the watch of the operator's table has a connection of its own

With the watch on a thread of its own its calls still went through the transfer thread, behind orders to and polls of all workers. The watch carries its requests out itself now (MakeBlockingClient): a long poll is under way nearly all the time, on one connection.

--- a/packages/daemon/src/fleet_process.cc
+++ b/packages/daemon/src/fleet_process.cc
@@ -178,8 +178,9 @@
 
 void fleet_process::MakeFollowers() {
   const auto run = [this](engine_step work) { Post(std::move(work)); };
+  operator_http_ = MakeBlockingClient({});
   operator_watch_ = std::make_unique<operator_watch>(
-      platform::MakeStorePort({.address = settings_.store}, *http_),
+      platform::MakeStorePort({.address = settings_.store}, *operator_http_),
       config_progress_, [this] {
         // An empty step ends the wait of the engine thread.
         Post([](instant) {});
@@ -367,7 +368,7 @@
   if (updated.store != settings_.store) {
     rows_ = platform::MakeStorePort({.address = updated.store}, *http_);
     operator_watch_->ReplaceStore(
-        platform::MakeStorePort({.address = updated.store}, *http_));
+        platform::MakeStorePort({.address = updated.store}, *operator_http_));
   }
   // Addresses that the process listens on stay until it is restarted.
   settings_.store = updated.store;
--- a/packages/daemon/src/fleet_process.h
+++ b/packages/daemon/src/fleet_process.h
@@ -129,6 +129,8 @@
   std::unique_ptr<fleet::row_port> rows_;
   std::unique_ptr<fleet::worker_port> workers_;
   std::unique_ptr<entry_rows> own_rows_;
+  /// Carries the requests of the watch on its thread.
+  std::unique_ptr<async_http_client> operator_http_;
   std::unique_ptr<operator_watch> operator_watch_;
   std::unique_ptr<table_follower> worker_follower_;
   std::unique_ptr<table_follower> entry_follower_;
--- a/packages/ports/include/tarragondrift/ports/async_http_client.h
+++ b/packages/ports/include/tarragondrift/ports/async_http_client.h
@@ -43,6 +43,12 @@
   virtual uint64_t Connections() const = 0;
 };
 
+/// Makes a client whose requests are carried out by the calling thread: Send
+/// returns after the callback. For a thread that has nothing else to do and
+/// must not wait behind the requests of others. It does not count connections.
+std::unique_ptr<async_http_client> MakeBlockingClient(
+    const http_client_options& options);
+
 }  // namespace tarragondrift
 
 #endif  // TARRAGONDRIFT_PORTS_ASYNC_HTTP_CLIENT_H_
--- a/packages/ports/src/async_http_client.cc
+++ b/packages/ports/src/async_http_client.cc
@@ -135,8 +135,28 @@
   transfer_loop loop_;
 };
 
+class blocking_client : public async_http_client {
+ public:
+  explicit blocking_client(const http_client_options& options)
+      : client_(options) {}
+
+  void Send(http_request request, http_callback done) override {
+    done(client_.Send(request));
+  }
+
+  uint64_t Connections() const override { return 0; }
+
+ private:
+  http_client client_;
+};
+
 }  // namespace
 
+std::unique_ptr<async_http_client> MakeBlockingClient(
+    const http_client_options& options) {
+  return std::make_unique<blocking_client>(options);
+}
+
 std::unique_ptr<async_http_client> async_http_client::Start(
     const async_http_options& options) {
   return std::make_unique<curl_async_client>(options);
