daemon: a follower that lost the store asks without waiting

A long poll sent into a cut goes on for its wait and its time-out, 2 s, after the path is back, and a pause of up to 0.8 s follows: 2.8 s of the 4 s after which an entry counts as in touch, with the next attempt on another dead connection over it. After a failure the poll does not wait, so a dead connection costs 1 s. Changes are followed with long polls again from the first success.

The test failed before (wait of 1,000 ms after a failure).

--- a/packages/daemon/src/table_follower.cc
+++ b/packages/daemon/src/table_follower.cc
@@ -49,10 +49,12 @@
 }
 
 void table_follower::Follow() {
-  rows_->Follow(
-      options_.table, version_, options_.wait, [this](const row_batch& batch) {
-        run_on_owner_([this, batch](instant now) { OnFollowed(batch, now); });
-      });
+  // After a failure the connection may be dead, which shows sooner by a call
+  // that the store answers at once.
+  const auto wait = healthy_ ? options_.wait : std::chrono::milliseconds{0};
+  rows_->Follow(options_.table, version_, wait, [this](const row_batch& batch) {
+    run_on_owner_([this, batch](instant now) { OnFollowed(batch, now); });
+  });
 }
 
 void table_follower::OnListed(const row_batch& batch, instant now) {
--- a/packages/daemon/test/table_follower_test.cc
+++ b/packages/daemon/test/table_follower_test.cc
@@ -33,9 +33,11 @@
     }
     done(Next());
   }
-  void Follow(const std::string&, uint64_t version, std::chrono::milliseconds,
+  void Follow(const std::string&, uint64_t version,
+              std::chrono::milliseconds wait,
               std::function<void(row_batch)> done) override {
     last_version = version;
+    last_wait = wait;
     done(Next());
   }
   void Write(const fleet::row_update& update,
@@ -63,6 +65,7 @@
   int lists = 0;
   std::string last_after;
   uint64_t last_version = 0;
+  std::chrono::milliseconds last_wait{0};
 };
 
 struct follower_fixture {
@@ -174,6 +177,24 @@
   CHECK(seen.contains("a"));
 }
 
+// Guards against a long poll on a dead connection that goes on for its whole
+// wait after the store has come back.
+TEST_CASE_METHOD(follower_fixture,
+                 "a follower that lost the store asks without waiting") {
+  script->replies = {{.outcome = row_outcome::kOk, .version = 5}};
+  Step();
+  Step();
+  CHECK(script->last_wait == 1s);
+  CHECK_FALSE(follower->IsHealthy());
+  Step();
+  CHECK(script->last_wait == 0s);
+  script->replies = {{.outcome = row_outcome::kOk, .version = 6}};
+  Step();
+  CHECK(follower->IsHealthy());
+  Step();
+  CHECK(script->last_wait == 1s);
+}
+
 // A follower that is resumed must not use rows that were removed meanwhile.
 TEST_CASE_METHOD(follower_fixture, "a resumed follower lists the table anew") {
   script->replies = {
