ports: one odd entry does not make the instance list unreadable

One entry of another shape (no node, a port of another type, nested deeply) made the whole reply kStoreUnavailable, so the entry no longer followed the list as long as that entry was there; a port of 74636 was read as 9100 of another process. Such an entry is left out now and the others hold.

Before: the test with ten odd entries beside two good ones got no list. After: the two.

--- a/packages/ports/src/instance_client.cc
+++ b/packages/ports/src/instance_client.cc
@@ -2,7 +2,9 @@
 #include <algorithm>
 #include <charconv>
 #include <nlohmann/json.hpp>
+#include <optional>
 #include <string_view>
+#include <utility>
 
 #include "tarragondrift/ports/clients.h"
 #include "tarragondrift/ports/http_client.h"
@@ -53,6 +55,17 @@
   return slots;
 }
 
+/// Reads the port; throws json::exception when it is not one.
+uint16_t ReadPort(const json& service) {
+  const json& port = service.at("Port");
+  if (!port.is_number_unsigned() || port.get<uint64_t>() == 0 ||
+      !std::in_range<uint16_t>(port.get<uint64_t>())) {
+    throw json::type_error::create(302, "\"Port\" is not a port number",
+                                   &service);
+  }
+  return port.get<uint16_t>();
+}
+
 /// Reads the address; a service without its own has that of its node.
 std::string ReadAddress(const json& entry) {
   const json& service = entry.at("Service");
@@ -60,11 +73,11 @@
   if (host.empty()) {
     host = entry.at("Node").at("Address").get<std::string>();
   }
-  return host + ':' + std::to_string(service.at("Port").get<uint16_t>());
+  return host + ':' + std::to_string(ReadPort(service));
 }
 
 /// Reads one instance; throws json::exception for another shape.
-listed_instance ReadInstance(const json& entry) {
+listed_instance ReadInstanceFields(const json& entry) {
   const json& service = entry.at("Service");
   listed_instance instance;
   instance.address = ReadAddress(entry);
@@ -76,6 +89,20 @@
   return instance;
 }
 
+/// Reads one instance.
+/// @return nothing when it is dead or its entry has another shape: entries may
+/// come from other writers.
+std::optional<listed_instance> ReadInstance(const json& entry) {
+  try {
+    if (IsDead(entry)) {
+      return std::nullopt;
+    }
+    return ReadInstanceFields(entry);
+  } catch (const json::exception&) {
+    return std::nullopt;
+  }
+}
+
 /// The client; see instance_port for what its calls promise.
 class instance_client final : public instance_port {
  public:
@@ -105,15 +132,15 @@
  private:
   static result<std::vector<listed_instance>> ReadList(
       const std::string& body) {
+    const json entries = json::parse(body, nullptr, false);
+    if (!entries.is_array()) {
+      return result_code::kStoreUnavailable;
+    }
     std::vector<listed_instance> instances;
-    try {
-      for (const json& entry : json::parse(body)) {
-        if (!IsDead(entry)) {
-          instances.push_back(ReadInstance(entry));
-        }
+    for (const json& entry : entries) {
+      if (auto instance = ReadInstance(entry)) {
+        instances.push_back(std::move(*instance));
       }
-    } catch (const json::exception&) {
-      return result_code::kStoreUnavailable;
     }
     return instances;
   }
--- a/packages/ports/test/platform_client_test.cc
+++ b/packages/ports/test/platform_client_test.cc
@@ -6,6 +6,7 @@
 #include <thread>
 #include <vector>
 
+#include "fake_http_server.h"
 #include "fake_platform.h"
 #include "tarragondrift/ports/clients.h"
 
@@ -249,6 +250,33 @@
   CHECK(instances->List("plata", "dc1").value().empty());
 }
 
+// Guards against a list that is not followed any more because of one entry.
+TEST_CASE("odd entries do not make the instance list unreadable") {
+  constexpr size_t kDepth = 30'000;
+  const auto entry = [](const std::string& port) {
+    return R"({"Node":{"Address":"127.0.0.1","Datacenter":"dc1"},
+               "Service":{"Port":)" +
+           port + "}}";
+  };
+  const std::string body =
+      '[' + entry("9100") + ',' + entry("74636") + ',' + entry("0") + ',' +
+      entry("-1") + ',' + entry(R"("9100")") + ',' +
+      entry("123456789012345678901234567890") + ',' +
+      entry(std::string(kDepth, '[') + std::string(kDepth, ']')) +
+      R"(,{},5,{"Service":7},{"Checks":5,"Service":{"Port":1}},)" +
+      entry("9101") + ']';
+  fake_http_server server(
+      [&body](const fake_request&) { return fake_reply{.body = body}; });
+  REQUIRE(server.Start(0));
+  const auto client = MakeInstanceClient(
+      {.base_url = "http://" + server.Address(), .timeout = kTimeout * 10});
+  const auto listed = client->List("plata", "dc1");
+  REQUIRE(listed);
+  REQUIRE(listed.value().size() == 2);
+  CHECK(listed.value()[0].address == "127.0.0.1:9100");
+  CHECK(listed.value()[1].address == "127.0.0.1:9101");
+}
+
 TEST_CASE_METHOD(platform_fixture, "the instance list lags") {
   platform.Instances().SetLag(std::chrono::hours(1));
   platform.Instances().Register(
