--- a/packages/daemon/src/engine_queue.h
+++ b/packages/daemon/src/engine_queue.h
@@ -34,8 +34,8 @@
   /// count as waiting until EndBatch.
   std::vector<posted_step> TakeUntil(instant limit);
 
-  /// Ends the batch that was taken last. Logs when its oldest step waited for
-  /// longer than the limit of what callers and the operator notice.
+  /// Ends the batch that was taken last, and logs if its oldest step waited for
+  /// so long that answers are late.
   void EndBatch(instant now);
 
   void Close() { steps_.Close(); }
