--- a/packages/daemon/test/table_follower_test.cc
+++ b/packages/daemon/test/table_follower_test.cc
@@ -177,8 +177,7 @@
   CHECK(seen.contains("a"));
 }
 
-// Guards against a long poll on a dead connection that goes on for its whole
-// wait after the store has come back.
+// Guards against a long poll on a dead connection after the store is back.
 TEST_CASE_METHOD(follower_fixture,
                  "a follower that lost the store asks without waiting") {
   script->replies = {{.outcome = row_outcome::kOk, .version = 5}};
