fleet: computes the steps of a job in time linear in tasks and dependencies

Cause: ExpectedRemainingTime called itself for each later step that waits for one, so that its calls doubled with each step. It was called for each offer, each queued task and, for parts that have not begun, each tick. On the same thread, each end of a task looked at every task of every step that a blocked step waits for, each queued task at all tasks of its part, and the end of a part at the whole queue; requirements were compared with all workers once a step.

Ruled out: parsing (not on the engine thread, linear), ExpectedCriticalPath at the origin (one pass over the steps already), spread of tasks (linear in tasks), a lock or a call that waits (the process used one whole core).

Change: a part derives the order of its steps once (step_cmd): how many dependencies each step awaits, which steps wait for it, and the time of the longest chain after it. The end of a step's last task touches its dependents only. Whether a part has begun is counted, its queued tasks know their keys, and parts are found by job through an index. Single-step jobs are decided as before.

--- a/packages/fleet/include/tarragondrift/fleet/engine_base.h
+++ b/packages/fleet/include/tarragondrift/fleet/engine_base.h
@@ -145,6 +145,8 @@
   instant latest_start;
   /// When an answer is of no more use to its caller if it has not started.
   instant useful_until;
+  /// Number of its tasks.
+  uint32_t tasks = 0;
 };
 
 /// Sort key of a queued task; lower keys are placed first.
@@ -242,6 +244,7 @@
   /// Parts of which this entry is the controller.
   pool<part, part_id> parts;
   std::map<std::pair<uint64_t, part_ref>, part_id> part_index;
+  std::unordered_multimap<std::string, part_id> parts_by_job;
   std::set<queue_key> queue;
   crash_table crashes;
   runtime_table runtimes;
--- a/packages/fleet/include/tarragondrift/fleet/job_base.h
+++ b/packages/fleet/include/tarragondrift/fleet/job_base.h
@@ -127,6 +127,9 @@
   uint32_t failed = 0;
   /// It may crash the worker that runs it, so it needs one of its own.
   bool alone = false;
+  /// Where a queued task is in the queue; see queue_key.
+  bool late = false;
+  instant latest_start;
   /// The worker of the newest run.
   std::string worker;
   /// The worker of the last run that did not succeed; the next run avoids it
@@ -134,6 +137,22 @@
   std::string avoid;
 };
 
+/// Progress of one step of a part.
+struct step_progress {
+  /// The step's tasks: the index of the first in part::tasks, how many there
+  /// are, and how many of them are not done.
+  uint32_t first_task = 0;
+  uint32_t tasks = 0;
+  uint32_t left = 0;
+  /// Number of the step's entries in `after` that are not done.
+  uint32_t awaited = 0;
+  /// The steps that wait for this one, once for each such entry.
+  std::vector<uint32_t> later;
+  /// Expected running time of the longest chain of steps that wait for this
+  /// one, as of the part's arrival.
+  std::chrono::milliseconds time_after{0};
+};
+
 struct part_tag;
 using part_id = typed_id<part_tag>;
 
@@ -150,8 +169,13 @@
   /// The origin takes tasks back; see part_offer.
   bool accepts_returns = false;
   std::vector<task> tasks;
+  std::vector<step_progress> steps;
+  /// One step for each different requirement (resources and label) of the job.
+  std::vector<uint32_t> distinct_needs;
   /// Number of tasks that are not done.
   uint32_t left = 0;
+  /// Number of tasks that are placed or done.
+  uint32_t begun_tasks = 0;
   /// Running time of its tasks on a worker of nominal speed, derived from the
   /// progress of a run; 0 until known.
   std::chrono::milliseconds observed_runtime{0};
--- a/packages/fleet/include/tarragondrift/fleet/part_cmd.h
+++ b/packages/fleet/include/tarragondrift/fleet/part_cmd.h
@@ -36,6 +36,13 @@
 /// Whether a worker may have begun a task of the part.
 bool HasStarted(const part& owner);
 
+/// Whether the part has a step that no worker held here could run.
+bool HasUnservableStep(const engine& state, const part& owner);
+
+/// Removes a part's queued tasks from the one numbered `first` on from the
+/// queue. The caller removes them, or the part, as well.
+void DropQueuedTasks(engine& state, part_id id, uint32_t first);
+
 /// Ends a part, stops its runs and reports its result to its origin.
 void EndPart(engine& state, part_id id, result_code code, instant now);
 
--- a/packages/fleet/src/caller_cmd.cc
+++ b/packages/fleet/src/caller_cmd.cc
@@ -214,7 +214,8 @@
           {.arrival = std::move(arrival),
            .arrived = job.arrived,
            .latest_start = job.latest_start,
-           .useful_until = job.useful_until},
+           .useful_until = job.useful_until,
+           .tasks = plan.tasks},
           *job.failure_code, now);
   RemoveJob(state, number);
   return true;
@@ -426,7 +427,8 @@
             {.arrival = std::move(arrival),
              .arrived = now,
              .latest_start = plan.objective - plan.critical_path,
-             .useful_until = plan.useful_until},
+             .useful_until = plan.useful_until,
+             .tasks = plan.tasks},
             plan.refusal, now);
   } else {
     Refuse(state, arrival, plan, now);
--- a/packages/fleet/src/held_job_cmd.cc
+++ b/packages/fleet/src/held_job_cmd.cc
@@ -15,9 +15,7 @@
 uint32_t CountHeldTasks(const engine& state) {
   uint32_t tasks = 0;
   for (const auto& [request, held] : state.held_jobs) {
-    for (const step_spec& step : held.arrival.spec.steps) {
-      tasks += step.count;
-    }
+    tasks += held.tasks;
   }
   return tasks;
 }
--- a/packages/fleet/src/part_cmd.cc
+++ b/packages/fleet/src/part_cmd.cc
@@ -3,6 +3,7 @@
 #include <algorithm>
 #include <array>
 #include <functional>
+#include <iterator>
 #include <optional>
 #include <utility>
 #include <vector>
@@ -15,6 +16,7 @@
 #include "tarragondrift/fleet/runtime_base.h"
 #include "tarragondrift/fleet/speed_cmd.h"
 #include "tarragondrift/fleet/spread_cmd.h"
+#include "tarragondrift/fleet/step_cmd.h"
 #include "tarragondrift/fleet/worker_cmd.h"
 
 namespace tarragondrift::fleet {
@@ -25,26 +27,6 @@
 /// Weight of one task in the smoothed cpu of tasks.
 constexpr double kCpuSmoothingWeight = 0.05;
 
-milliseconds ExpectedStepRuntime(const engine& state, const part& owner,
-                                 uint32_t step) {
-  return ExpectedRuntime(state.runtimes, owner.queue,
-                         owner.job.steps[step].estimate);
-}
-
-/// Returns the expected running time of the longest chain of steps that begins
-/// with this one.
-milliseconds ExpectedRemainingTime(const engine& state, const part& owner,
-                                   uint32_t step) {
-  milliseconds longest{0};
-  for (uint32_t later = step + 1; later < owner.job.steps.size(); ++later) {
-    const auto& after = owner.job.steps[later].after;
-    if (std::find(after.begin(), after.end(), step) != after.end()) {
-      longest = std::max(longest, ExpectedRemainingTime(state, owner, later));
-    }
-  }
-  return longest + ExpectedStepRuntime(state, owner, step);
-}
-
 queue_key MakeQueueKey(const engine& state, part_id id, uint32_t number,
                        instant now) {
   const part& owner = state.parts.Get(id);
@@ -58,39 +40,38 @@
           .task = number};
 }
 
+void InsertIntoQueue(engine& state, part_id id, uint32_t number, instant now) {
+  const queue_key key = MakeQueueKey(state, id, number, now);
+  task& queued = state.parts.Get(id).tasks[number];
+  queued.late = key.late;
+  queued.latest_start = key.latest_start;
+  state.queue.insert(key);
+}
+
 void Enqueue(engine& state, part_id id, uint32_t number, instant now) {
   part& owner = state.parts.Get(id);
   task& queued = owner.tasks[number];
-  queued.phase = task_phase::kQueued;
+  SetTaskPhase(owner, queued, task_phase::kQueued);
   queued.alone = MustRunAlone(
       state, {.job = owner.job.id, .step = queued.step, .index = queued.index});
-  state.queue.insert(MakeQueueKey(state, id, number, now));
+  InsertIntoQueue(state, id, number, now);
   state.dispatch_due = true;
 }
 
-/// Removes all tasks of a part from the queue.
-void RemoveFromQueue(engine& state, part_id id) {
-  std::erase_if(state.queue,
-                [id](const queue_key& key) { return key.part == id; });
+/// Queues the tasks of a step that no longer waits for others.
+void EnqueueStep(engine& state, part_id id, uint32_t step, instant now) {
+  const step_progress& ready = state.parts.Get(id).steps[step];
+  for (uint32_t at = 0; at < ready.tasks; ++at) {
+    Enqueue(state, id, ready.first_task + at, now);
+  }
 }
 
-/// Queues the blocked tasks of steps whose earlier steps are all done.
-void EnqueueReady(engine& state, part_id id, instant now) {
-  part& owner = state.parts.Get(id);
-  const auto step_done = [&owner](uint32_t step) {
-    return std::all_of(
-        owner.tasks.begin(), owner.tasks.end(), [step](const task& one) {
-          return one.step != step || one.phase == task_phase::kDone;
-        });
-  };
-  for (uint32_t number = 0; number < owner.tasks.size(); ++number) {
-    const task& one = owner.tasks[number];
-    if (one.phase != task_phase::kBlocked) {
-      continue;
-    }
-    const auto& after = owner.job.steps[one.step].after;
-    if (std::all_of(after.begin(), after.end(), step_done)) {
-      Enqueue(state, id, number, now);
+/// Queues the tasks of the steps that wait for none.
+void EnqueueFirstSteps(engine& state, part_id id, instant now) {
+  const part& owner = state.parts.Get(id);
+  for (uint32_t step = 0; step < owner.steps.size(); ++step) {
+    if (owner.steps[step].awaited == 0) {
+      EnqueueStep(state, id, step, now);
     }
   }
 }
@@ -106,9 +87,12 @@
 
 /// Removes a part and stops its runs.
 void RemovePart(engine& state, part_id id, instant now) {
-  RemoveFromQueue(state, id);
+  DropQueuedTasks(state, id, 0);
   const part owner = std::move(state.parts.Get(id));
   state.part_index.erase({owner.origin, owner.ref});
+  const auto [first, last] = state.parts_by_job.equal_range(owner.job.id);
+  state.parts_by_job.erase(std::find_if(
+      first, last, [id](const auto& entry) { return entry.second == id; }));
   state.parts.Erase(id);
   for (const task& one : owner.tasks) {
     const auto at = state.workers.find(one.worker);
@@ -155,10 +139,8 @@
   if (state.leaving) {
     return result_code::kNotRunDraining;
   }
-  for (const step_spec& step : owner.job.steps) {
-    if (!CouldRun(state, owner, step)) {
-      return result_code::kNotRunNoInstance;
-    }
+  if (HasUnservableStep(state, owner)) {
+    return result_code::kNotRunNoInstance;
   }
   const auto loads = ReportLoad(state, now);
   const auto load = loads.find(owner.upstream);
@@ -175,7 +157,8 @@
              : result_code::kOk;
 }
 
-part MakePart(uint64_t origin, const part_offer& offer, instant now) {
+part MakePart(const engine& state, uint64_t origin, const part_offer& offer,
+              instant now) {
   part created{.ref = offer.ref,
                .origin = origin,
                .queue = offer.queue,
@@ -197,19 +180,18 @@
     }
   }
   created.left = static_cast<uint32_t>(created.tasks.size());
+  InitSteps(state, created);
   return created;
 }
 
 /// Whether this entry holds a part of the same job for another request.
 bool RunsForOtherRequest(const engine& state, uint64_t origin,
                          const part& offered) {
-  bool found = false;
-  state.parts.ForEach([&](part_id, const part& other) {
-    found =
-        found || (other.job.id == offered.job.id &&
-                  (other.origin != origin || other.ref.job != offered.ref.job));
+  const auto [first, last] = state.parts_by_job.equal_range(offered.job.id);
+  return std::any_of(first, last, [&](const auto& entry) {
+    const part& other = state.parts.Get(entry.second);
+    return other.origin != origin || other.ref.job != offered.ref.job;
   });
-  return found;
 }
 
 std::vector<part_id> FindParts(
@@ -242,8 +224,10 @@
 }
 
 /// Marks a task as done and updates the statistics of its queue and worker.
-void CompleteTask(engine& state, worker& host, const task_run& run, part& owner,
-                  task& one, instant now) {
+/// @return the steps that no longer wait for others.
+std::vector<uint32_t> CompleteTask(engine& state, worker& host,
+                                   const task_run& run, part& owner, task& one,
+                                   instant now) {
   host.health.consecutive_failures = 0;
   host.health.ejection = milliseconds{0};
   host.on_probation = false;
@@ -255,8 +239,7 @@
   if (!IsOff(state.options.without, mechanism::kSpeeds)) {
     RecordSpeed(state.speeds.classes, host, run.expected, took);
   }
-  one.phase = task_phase::kDone;
-  --owner.left;
+  return CompleteStepTask(owner, one);
 }
 
 /// Queues a task again after a failed run, or fails its part once its attempts
@@ -315,7 +298,7 @@
   }
   for (const queue_key& key : late) {
     state.queue.erase(key);
-    state.queue.insert(MakeQueueKey(state, key.part, key.task, now));
+    InsertIntoQueue(state, key.part, key.task, now);
   }
 }
 
@@ -337,14 +320,29 @@
 }  // namespace
 
 bool HasStarted(const part& owner) {
-  return owner.started ||
-         std::any_of(owner.tasks.begin(), owner.tasks.end(),
-                     [](const task& one) {
-                       return one.phase == task_phase::kPlaced ||
-                              one.phase == task_phase::kDone;
+  return owner.started || owner.begun_tasks > 0;
+}
+
+bool HasUnservableStep(const engine& state, const part& owner) {
+  return std::any_of(owner.distinct_needs.begin(), owner.distinct_needs.end(),
+                     [&](uint32_t step) {
+                       return !CouldRun(state, owner, owner.job.steps[step]);
                      });
 }
 
+void DropQueuedTasks(engine& state, part_id id, uint32_t first) {
+  const part& owner = state.parts.Get(id);
+  for (uint32_t number = first; number < owner.tasks.size(); ++number) {
+    const task& one = owner.tasks[number];
+    if (one.phase == task_phase::kQueued) {
+      state.queue.erase({.late = one.late,
+                         .latest_start = one.latest_start,
+                         .part = id,
+                         .task = number});
+    }
+  }
+}
+
 void EndPart(engine& state, part_id id, result_code code, instant now) {
   const part& owner = state.parts.Get(id);
   const bool started = HasStarted(owner);
@@ -367,7 +365,7 @@
   if (state.part_index.contains({origin, offer.ref})) {
     return;
   }
-  part created = MakePart(origin, offer, now);
+  part created = MakePart(state, origin, offer, now);
   microseconds wait{0};
   result_code refusal = CheckAdmission(state, created, wait, now);
   if (HasGivenUpTask(state, created.job.id)) {
@@ -393,7 +391,8 @@
   }
   const part_id id = state.parts.Insert(std::move(created));
   state.part_index[{origin, offer.ref}] = id;
-  EnqueueReady(state, id, now);
+  state.parts_by_job.emplace(offer.job.id, id);
+  EnqueueFirstSteps(state, id, now);
 }
 
 void CancelPart(engine& state, uint64_t origin, const part_ref& ref,
@@ -418,8 +417,11 @@
 }
 
 void CancelPartsOfJob(engine& state, const std::string& job, instant now) {
-  for (const part_id id : FindParts(
-           state, [&job](const part& one) { return one.job.id == job; })) {
+  std::vector<part_id> found;
+  const auto [first, last] = state.parts_by_job.equal_range(job);
+  std::transform(first, last, std::back_inserter(found),
+                 [](const auto& entry) { return entry.second; });
+  for (const part_id id : found) {
     EndPart(state, id, result_code::kCancelledAfterStart, now);
   }
 }
@@ -444,11 +446,12 @@
     case run_end::kDone:
       ++state.counts.ends_done;
       ForgetCrashes(state, name.task);
-      CompleteTask(state, host, *run, *owner, one, now);
+      for (const uint32_t step :
+           CompleteTask(state, host, *run, *owner, one, now)) {
+        EnqueueStep(state, run->owner, step, now);
+      }
       if (owner->left == 0) {
         EndPart(state, run->owner, result_code::kOk, now);
-      } else if (owner->job.steps.size() > 1) {
-        EnqueueReady(state, run->owner, now);
       }
       return;
     case run_end::kFailed:
--- a/packages/fleet/src/return_cmd.cc
+++ b/packages/fleet/src/return_cmd.cc
@@ -99,12 +99,6 @@
          IsResponsive(state, at->second, now);
 }
 
-bool HasUnservableStep(const engine& state, const part& owner) {
-  return std::any_of(
-      owner.job.steps.begin(), owner.job.steps.end(),
-      [&](const step_spec& step) { return !CouldRun(state, owner, step); });
-}
-
 /// Whether workers of an upstream that are held here are out of service because
 /// of an evacuation.
 bool HasEvacuatedWorkers(const engine& state, const std::string& upstream) {
@@ -155,11 +149,12 @@
 void DropLastTasks(engine& state, part_id id, uint32_t count) {
   part& owner = state.parts.Get(id);
   const auto kept = static_cast<uint32_t>(owner.tasks.size() - count);
-  std::erase_if(state.queue, [id, kept](const queue_key& key) {
-    return key.part == id && key.task >= kept;
-  });
+  DropQueuedTasks(state, id, kept);
   owner.tasks.resize(kept);
   owner.left -= count;
+  // Only parts of single-step jobs are returned.
+  owner.steps.front().tasks -= count;
+  owner.steps.front().left -= count;
 }
 
 /// Returns the last tasks of a part; a part of which no task was started and
--- a/packages/fleet/src/worker_cmd.cc
+++ b/packages/fleet/src/worker_cmd.cc
@@ -15,6 +15,7 @@
 #include "tarragondrift/fleet/placement_cmd.h"
 #include "tarragondrift/fleet/progress_cmd.h"
 #include "tarragondrift/fleet/speed_cmd.h"
+#include "tarragondrift/fleet/step_cmd.h"
 #include "tarragondrift/fleet/worker_list_cmd.h"
 
 namespace tarragondrift::fleet {
@@ -529,7 +530,7 @@
   part& owning_part = state.parts.Get(owner);
   fleet::task& placed_task = owning_part.tasks[task];
   const step_spec& step = owning_part.job.steps[placed_task.step];
-  placed_task.phase = task_phase::kPlaced;
+  SetTaskPhase(owning_part, placed_task, task_phase::kPlaced);
   placed_task.worker = destination.listing.id;
   ++placed_task.run;
   const run_name name{.task = {.job = owning_part.job.id,
