daemon: an entry whose engine makes no progress is not ready

Cause: readiness was a flag that the engine thread itself sets, and nothing looked at the thread. engine_behind is logged by the engine thread too, at the end of a batch that did not end.

Ruled out: the age of waiting work as the criterion: it is 0 at an entry without requests, and a thread that is behind still serves.

Change: a thread of its own compares the iterations of the engine's loop each 250 ms. After a second without one the entry is not ready, logs engine_stalled and shows it in its metrics; engine_resumed ends it. A pause of the whole process counts as two intervals at most.

--- a/packages/daemon/src/fleet_process.cc
+++ b/packages/daemon/src/fleet_process.cc
@@ -141,7 +141,7 @@
       {.address = settings_.readiness, .most_connections = 50},
       [this](const server_request& request) {
         const bool ready =
-            request.path == platform::kReadinessPath && ready_.load();
+            request.path == platform::kReadinessPath && IsReady();
         return server_response{
             .status = static_cast<uint16_t>(ready ? 200 : 503), .body = "{}"};
       });
@@ -155,10 +155,10 @@
       {.address = metrics_address, .most_connections = 20},
       [this](const server_request&) {
         const instant now = Now();
-        return server_response{.body = metrics_.Render() +
-                                       config_progress_.Render(now) +
-                                       queue_.Render(now),
-                               .content_type = "text/plain; version=0.0.4"};
+        return server_response{
+            .body = metrics_.Render() + config_progress_.Render(now) +
+                    queue_.Render(now) + engine_progress_.Render(),
+            .content_type = "text/plain; version=0.0.4"};
       });
   if (!metrics_page) {
     return log_listen_failure("metrics", metrics_address);
@@ -173,6 +173,9 @@
   callers_ = std::move(callers).value();
   operator_watch_->Start();
   thread_ = std::thread([this] { Loop(); });
+  progress_checks_ = std::make_unique<repeating_thread>(
+      engine_progress::kCheckInterval,
+      [this] { engine_progress_.Check(Now()); });
   return true;
 }
 
@@ -245,6 +248,7 @@
     }
     Execute(now);
     queue_.EndBatch(Now());
+    engine_progress_.Advance();
     if (stop_started_ && IsStopComplete(now)) {
       return;
     }
--- a/packages/daemon/src/fleet_process.h
+++ b/packages/daemon/src/fleet_process.h
@@ -16,12 +16,14 @@
 
 #include "clock.h"
 #include "config_progress.h"
+#include "engine_progress.h"
 #include "engine_queue.h"
 #include "entry_rows.h"
 #include "fleet_metrics.h"
 #include "log_limiter.h"
 #include "operator_watch.h"
 #include "platform/boot_settings.h"
+#include "repeating_thread.h"
 #include "table_follower.h"
 #include "tarragondrift/fleet/engine_cmd.h"
 #include "tarragondrift/fleet/ports.h"
@@ -77,6 +79,7 @@
   void CheckSettingsFile(instant now);
   void ApplySettings(const std::string& cause);
   bool IsStopComplete(instant now);
+  bool IsReady() const { return ready_.load() && !engine_progress_.Stalled(); }
 
   void OnRequest(const held_request& request);
   void OnSubmit(const held_request& request, const fleet::queue_config& queue,
@@ -101,6 +104,7 @@
   fleet_process_options options_;
 
   engine_queue queue_;
+  engine_progress engine_progress_;
   config_progress config_progress_;
   fleet::engine engine_;
   /// The incarnation number once this entry has joined, 0 before.
@@ -141,6 +145,7 @@
   std::unique_ptr<http_server> readiness_;
   std::unique_ptr<http_server> metrics_page_;
   std::unique_ptr<held_http_server> callers_;
+  std::unique_ptr<repeating_thread> progress_checks_;
   std::thread thread_;
 };
 
