bench: what jobs of growing size cost the engine

Bound: the cost per task and dependency grows by at most 2 from 100 to 800 steps (a quadratic cost would grow by 8 or more). Part of the tests as fleet_job_costs.

--- a/packages/bench/fleet/main.cc
+++ b/packages/bench/fleet/main.cc
@@ -15,6 +15,7 @@
 
 #include "figure.h"
 #include "fleet_sim.h"
+#include "job_costs.h"
 
 namespace tarragondrift::bench {
 namespace {
@@ -28,11 +29,13 @@
   bool trace = false;
   /// Plays quiet fleets of several sizes in place of fault schedules.
   bool sizes = false;
+  /// Plays jobs of growing size instead.
+  bool jobs = false;
   fleet::mechanism_set without;
 };
 
 bool Parse(int count, char** arguments, options& into) {
-  const std::array<option, 9> flags{
+  const std::array<option, 10> flags{
       {{"seeds", required_argument, nullptr, 's'},
        {"first", required_argument, nullptr, 'f'},
        {"threads", required_argument, nullptr, 't'},
@@ -40,6 +43,7 @@
        {"expect-caught", no_argument, nullptr, 'e'},
        {"trace", no_argument, nullptr, 'v'},
        {"sizes", no_argument, nullptr, 'z'},
+       {"jobs", no_argument, nullptr, 'j'},
        {"without", required_argument, nullptr, 'w'},
        {}}};
   int chosen = 0;
@@ -77,6 +81,9 @@
       case 'z':
         into.sizes = true;
         break;
+      case 'j':
+        into.jobs = true;
+        break;
       case 'e':
         into.expect_caught = true;
         break;
@@ -230,6 +237,9 @@
   if (chosen.sizes) {
     return PlaySizes();
   }
+  if (chosen.jobs) {
+    return PrintJobCosts() ? 0 : 1;
+  }
   const fleet_outcome sum = PlayAll(chosen);
   if (chosen.expect_caught) {
     std::cout << "caught=" << Broken(sum) << '\n';
--- a/packages/bench/fleet/tests.cmake
+++ b/packages/bench/fleet/tests.cmake
@@ -3,6 +3,7 @@
 if(BUILD_TESTING)
   add_test(NAME fleet_schedules COMMAND bench_fleet --seeds 1000 --threads 2)
   add_test(NAME fleet_sizes COMMAND bench_fleet --sizes)
+  add_test(NAME fleet_job_costs COMMAND bench_fleet --jobs)
   # A home was killed and its tasks' controller cut off before it noticed.
   foreach(seed 2919 8269 9141)
     add_test(NAME fleet_regression_${seed}
