fleet: an offer that is handled late is refused, and leases go by when it was sent

Callers saw a job answered that had run a second time.

Cause: an entry took a message for as new as its handling. An origin gives an offer up after 600 ms without an acknowledgement, and its caller submits the job again 1.3 s later. If the offer was still on its way then (held up in the network, or in the sender's or the receiver's threads while these get little processor time), its controller accepted it and started the tasks beside those of the second submission, until the origin's next message began a new stream. The lease limit of an origin that was gone counted from the handling of its last message as well. Only a silence limit below 1.9 s hid this: in a full mesh it is 0.9 s.

Change: each envelope carries its time of sending and echoes the time stamp of an envelope from the receiver with the time since its arrival. From these the receiver knows, by its own clock, the earliest time at which the envelope was sent. The envelope with the shortest way of the last 10 s is echoed, so that the error is that of one quick message. Entries of earlier versions do not echo and are treated as before.

--- a/packages/bench/fleet/fleet_carry.cc
+++ b/packages/bench/fleet/fleet_carry.cc
@@ -146,6 +146,9 @@
       return std::holds_alternative<fleet::evacuation_snapshot>(one);
     });
   }
+  if (schedule_.mutation == fleet_mutation::kNoMessageAge) {
+    message.content.echo.reset();
+  }
   ++checks_.outcome.envelopes;
   const size_t to = std::stoul(message.address);
   const uint64_t incarnation = entries_[at].incarnation;
@@ -161,7 +164,7 @@
   const auto cut = [this, at, to] {
     return cut_entries_.contains(at) || cut_entries_.contains(to);
   };
-  loop_.After(kOneWay, [this, to, message, told, cut] {
+  loop_.At(ArrivalOf(at, to), [this, to, message, told, cut] {
     if (cut()) {
       return;
     }
--- a/packages/bench/fleet/fleet_faults.cc
+++ b/packages/bench/fleet/fleet_faults.cc
@@ -1,4 +1,5 @@
 // The faults of a schedule, and what entries are told of evacuations.
+#include <algorithm>
 #include <utility>
 
 #include "fleet_world.h"
@@ -114,6 +115,33 @@
   }
 }
 
+/// Holds up the messages to an entry, from one other or from all. They stay in
+/// order.
+void world::HoldLinks() {
+  const size_t to = Below(schedule_.entries);
+  const size_t from = Below(schedule_.entries);
+  const bool from_all = Fraction() < 0.5;
+  const instant until = loop_.now() + milliseconds(200 + Below(2'500));
+  Trace("fault",
+        "held to=" + std::to_string(to) +
+            " from=" + (from_all ? "all" : std::to_string(from)) + " for_ms=" +
+            std::to_string(
+                std::chrono::floor<milliseconds>(until - loop_.now()).count()));
+  for (size_t other = 0; other < entries_.size(); ++other) {
+    if (other != to && (from_all || other == from)) {
+      instant& arrival = held_links_[{other, to}];
+      arrival = std::max(arrival, until);
+    }
+  }
+}
+
+/// Returns when a message that is sent now arrives.
+instant world::ArrivalOf(size_t from, size_t to) const {
+  const instant normal = loop_.now() + kOneWay;
+  const auto held = held_links_.find({from, to});
+  return held == held_links_.end() ? normal : std::max(normal, held->second);
+}
+
 void world::Evacuate(const evacuation_change& change) {
   ++checks_.outcome.evacuations;
   std::string places;
--- a/packages/bench/fleet/fleet_sim.cc
+++ b/packages/bench/fleet/fleet_sim.cc
@@ -309,6 +309,11 @@
                                  schedule_.length.count())))),
              [this] { Fault(); });
   }
+  for (uint32_t held = 0; held < schedule_.held_links; ++held) {
+    loop_.At(instant(kLead + milliseconds(Below(static_cast<uint32_t>(
+                                 schedule_.length.count())))),
+             [this] { HoldLinks(); });
+  }
   for (const evacuation_change& change :
        PlanEvacuations(schedule_, instant(kLead))) {
     loop_.At(change.at, [this, change] { Evacuate(change); });
--- a/packages/bench/fleet/fleet_sim.h
+++ b/packages/bench/fleet/fleet_sim.h
@@ -30,6 +30,8 @@
   kIgnoreEvacuation,
   /// Peers do not pass evacuations on.
   kNoEvacuationRelay,
+  /// Entries do not know how old the messages are that they handle.
+  kNoMessageAge,
 };
 
 /// One schedule.
@@ -48,6 +50,9 @@
   std::chrono::milliseconds length{5'000};
   /// Faults in that time.
   uint32_t faults = 4;
+  /// Times in which messages to an entry are held up and arrive afterwards,
+  /// many of them after their sender has given them up.
+  uint32_t held_links = 0;
   /// Every so many jobs one has a task that crashes each worker that starts it;
   /// 0 for none.
   uint32_t deadly_every = 0;
--- a/packages/bench/fleet/fleet_world.h
+++ b/packages/bench/fleet/fleet_world.h
@@ -125,6 +125,8 @@
   void Submit(const std::string& id);
   void ResendLater(const std::string& id, milliseconds wait);
   void Fault();
+  void HoldLinks();
+  instant ArrivalOf(size_t from, size_t to) const;
   void Evacuate(const evacuation_change& change);
   void TellEvacuations(size_t entry);
   void MarkInterrupted(size_t entry);
@@ -151,6 +153,8 @@
   size_t ordering_entry_ = 0;
   std::set<size_t> cut_entries_;
   std::set<std::pair<size_t, size_t>> cut_pairs_;
+  /// When the messages between two entries that are held up will arrive.
+  std::map<std::pair<size_t, size_t>, instant> held_links_;
   /// Share of orders that get no answer and are carried out late.
   double late_share_ = 0;
   std::map<std::string, sim_job> jobs_;
--- a/packages/bench/fleet/main.cc
+++ b/packages/bench/fleet/main.cc
@@ -139,6 +139,8 @@
 std::vector<fleet_schedule> MakeSchedules(uint64_t seed,
                                           const options& chosen) {
   constexpr uint64_t kEvacuatedEvery = 10;
+  constexpr uint64_t kHeldEvery = 5;
+  constexpr uint64_t kManyControllersEvery = 20;
   std::vector<fleet_schedule> made{MakeSchedule(seed, chosen)};
   if (seed % kEvacuatedEvery == 2) {
     fleet_schedule evacuated = made.front();
@@ -147,6 +149,22 @@
     evacuated.faults = seed / kEvacuatedEvery % 2 == 0 ? 0 : evacuated.faults;
     made.push_back(evacuated);
   }
+  if (seed % kHeldEvery == 4) {
+    fleet_schedule held = made.front();
+    held.held_links = 6;
+    held.faults /= 2;
+    if (seed % kManyControllersEvery == 4) {
+      // So many controllers that the heartbeats between them, and with these
+      // the silence limit, take seconds.
+      held.entries = 48;
+      held.workers = 48;
+      held.data_centres = 3;
+      held.workers_per_core = 4;
+      held.jobs_per_second = 40;
+      held.held_links = 30;
+    }
+    made.push_back(held);
+  }
   return made;
 }
 
--- a/packages/bench/fleet/tests.cmake
+++ b/packages/bench/fleet/tests.cmake
@@ -10,7 +10,7 @@
              COMMAND bench_fleet --seeds 1 --first ${seed})
   endforeach()
   foreach(mutation no_fence_check no_lease_wait keep_silent_home no_settling
-                   ignore_draining forget_crashes)
+                   ignore_draining forget_crashes no_message_age)
     add_test(NAME fleet_catches_${mutation}
              COMMAND bench_fleet --seeds 2000 --threads 2 --mutation ${mutation}
                      --expect-caught)
--- a/packages/daemon/src/fleet_metrics.cc
+++ b/packages/daemon/src/fleet_metrics.cc
@@ -196,6 +196,8 @@
                counts.tasks_given_up);
   AppendMetric(page, "tarragondrift_offers_withdrawn_total",
                counts.offers_withdrawn);
+  AppendMetric(page, "tarragondrift_offers_too_old_total",
+               counts.offers_too_old);
   AppendMetric(page, "tarragondrift_tasks_returned_total{cause=\"no_worker\"}",
                counts.tasks_returned_no_worker);
   AppendMetric(page, "tarragondrift_tasks_returned_total{cause=\"wait\"}",
--- a/packages/daemon/src/fleet_process_io.cc
+++ b/packages/daemon/src/fleet_process_io.cc
@@ -172,6 +172,7 @@
       operator_watch_->OfferConfig(update->version, update->text, Now());
     }
   }
+  received.arrived = Now();
   Post([this, received = std::move(received)](instant now) {
     fleet::OnEnvelope(engine_, received, now);
   });
--- a/packages/fleet/include/tarragondrift/fleet/engine_base.h
+++ b/packages/fleet/include/tarragondrift/fleet/engine_base.h
@@ -178,6 +178,8 @@
   uint64_t runs_lost = 0;
   /// Offers taken back from peers that did not respond.
   uint64_t offers_withdrawn = 0;
+  /// Offers refused since they were handled long after they had been sent.
+  uint64_t offers_too_old = 0;
   /// Queued tasks returned to their origins, since no worker is left for them
   /// here, or since they would wait for too long.
   uint64_t tasks_returned_no_worker = 0;
--- a/packages/fleet/include/tarragondrift/fleet/fleet_options_base.h
+++ b/packages/fleet/include/tarragondrift/fleet/fleet_options_base.h
@@ -119,9 +119,9 @@
   /// An entry that handled no event for this long was paused by its host; its
   /// peers may be about to mark it silent. Ticks come every 20 ms.
   milliseconds process_pause_limit{500};
-  /// How long tasks run at most after the last message from their job's origin,
+  /// How long tasks run at most after their job's origin sent its last message,
   /// even if their controller fails as well. Callers resubmit a job 1.3 s after
-  /// its origin died, and the last message may have been in transit.
+  /// its origin died.
   milliseconds orphan_limit{1'200};
   /// A peer that has been silent for this long is forgotten, or, while it is
   /// listed, gets heartbeats only at retired_interval.
@@ -191,6 +191,9 @@
   /// Retry delay of callers that are refused because all capacity is evacuated.
   /// Evacuations last for minutes, and nobody knows when one ends.
   milliseconds evacuation_retry_after{5'000};
+  /// How long an envelope is echoed unless one was on its way for less time.
+  /// Clocks of entries drift apart by less than a millisecond meanwhile.
+  milliseconds echo_retention{10'000};
   /// How long a cancelled job's id is kept, for copies of the job in transit.
   milliseconds cancel_retention{10'000};
 };
--- a/packages/fleet/include/tarragondrift/fleet/lease_cmd.h
+++ b/packages/fleet/include/tarragondrift/fleet/lease_cmd.h
@@ -3,6 +3,7 @@
 #ifndef TARRAGONDRIFT_FLEET_LEASE_CMD_H_
 #define TARRAGONDRIFT_FLEET_LEASE_CMD_H_
 
+#include <chrono>
 #include <cstdint>
 #include <optional>
 
@@ -19,9 +20,12 @@
 /// the tasks must have ended by then.
 instant LeaseLimit(const engine& state, uint64_t origin, instant now);
 
+/// Returns the shortest lease with which a task is started: there must be time
+/// left to renew it.
+std::chrono::milliseconds ShortestLease(const engine& state);
+
 /// Whether a task with this lease limit may start at a worker. All runs of a
-/// worker share one lease, which must not already extend past this limit, and
-/// there must be time left to renew it.
+/// worker share one lease, which must not already extend past this limit.
 bool FitsLease(const engine& state, const worker& one, instant limit,
                instant now);
 
--- a/packages/fleet/include/tarragondrift/fleet/part_cmd.h
+++ b/packages/fleet/include/tarragondrift/fleet/part_cmd.h
@@ -6,9 +6,11 @@
 
 namespace tarragondrift::fleet {
 
-/// Accepts a part, or refuses it at once if it can't be on time.
+/// Accepts a part, or refuses it at once if it can't be on time or its origin
+/// may have given it up since.
+/// @param sent when the offer was sent, at the earliest.
 void AcceptPart(engine& state, uint64_t origin, const part_offer& offer,
-                instant now);
+                instant sent, instant now);
 
 /// Drops a part's queued tasks and stops its runs.
 /// @param report whether to report the result to the origin.
--- a/packages/fleet/include/tarragondrift/fleet/peer_base.h
+++ b/packages/fleet/include/tarragondrift/fleet/peer_base.h
@@ -120,6 +120,14 @@
                  config_update, crash_report, evacuation_snapshot,
                  controlled_workers, part_return>;
 
+/// Returns an envelope's time stamp to its sender.
+struct envelope_echo {
+  /// When the envelope was sent, on the clock of the entry that gets the echo.
+  instant sent;
+  /// Time from its arrival until the echo was sent.
+  std::chrono::microseconds age{0};
+};
+
 /// Ordered messages from one entry to another.
 struct envelope {
   uint64_t from = 0;
@@ -131,6 +139,14 @@
   /// The receiver's stream number last seen by the sender. A receiver that has
   /// begun a new stream ignores offers sent before the sender saw it.
   uint64_t heard_stream = 0;
+  /// On the sender's clock.
+  instant sent;
+  /// Unset if no envelope of the receiver has arrived, and from entries of
+  /// earlier versions. From it the receiver knows how old the envelope is at
+  /// most, without clocks that agree.
+  std::optional<envelope_echo> echo;
+  /// When it arrived, on the receiver's clock; not transmitted.
+  std::optional<instant> arrived;
   load_table load;
   std::vector<peer_message> messages;
 };
@@ -141,6 +157,13 @@
   /// Whether any message was received from it.
   bool ever_heard = false;
   instant last_heard;
+  /// The latest time at which it is known to have been alive: its newest
+  /// message was sent then or later.
+  instant known_alive;
+  /// Its envelope that was the shortest time on its way of late, by its time of
+  /// sending there and its arrival here; for echoes. Unset before the first.
+  std::optional<instant> echo_sent;
+  instant echo_arrived;
   /// No message within the silence limit, or its process is known to have
   /// ended.
   bool silent = true;
--- a/packages/fleet/src/lease_cmd.cc
+++ b/packages/fleet/src/lease_cmd.cc
@@ -55,13 +55,16 @@
   const auto at = state.peers.find(origin);
   return at == state.peers.end()
              ? now
-             : at->second.last_heard + state.options.orphan_limit;
+             : at->second.known_alive + state.options.orphan_limit;
+}
+
+milliseconds ShortestLease(const engine& state) {
+  return state.options.poll_wait + state.options.poll_timeout;
 }
 
 bool FitsLease(const engine& state, const worker& one, instant limit,
                instant now) {
-  return one.lease_expiry <= limit &&
-         limit - now >= state.options.poll_wait + state.options.poll_timeout;
+  return one.lease_expiry <= limit && limit - now >= ShortestLease(state);
 }
 
 std::optional<int64_t> ExtendLease(engine& state, worker& one, instant now) {
--- a/packages/fleet/src/part_cmd.cc
+++ b/packages/fleet/src/part_cmd.cc
@@ -10,6 +10,7 @@
 
 #include "tarragondrift/fleet/crash_cmd.h"
 #include "tarragondrift/fleet/engine_cmd.h"
+#include "tarragondrift/fleet/lease_cmd.h"
 #include "tarragondrift/fleet/peer_cmd.h"
 #include "tarragondrift/fleet/placement_cmd.h"
 #include "tarragondrift/fleet/progress_cmd.h"
@@ -158,7 +159,7 @@
 }
 
 part MakePart(const engine& state, uint64_t origin, const part_offer& offer,
-              instant now) {
+              instant sent, instant now) {
   part created{.ref = offer.ref,
                .origin = origin,
                .queue = offer.queue,
@@ -168,8 +169,8 @@
                .job = offer.job,
                .accepts_returns = offer.accepts_returns,
                .arrived = now,
-               .objective = now + offer.objective_left,
-               .deadline = now + offer.deadline_left};
+               .objective = sent + offer.objective_left,
+               .deadline = sent + offer.deadline_left};
   const bool multi_step = offer.job.steps.size() > 1;
   for (uint32_t step = 0; step < offer.job.steps.size(); ++step) {
     const uint32_t first = multi_step ? 0 : offer.first;
@@ -194,6 +195,13 @@
   });
 }
 
+/// Whether an offer is so old that no task of it may be started: its origin may
+/// have given it up, and the job may have been submitted again.
+bool IsTooOld(const engine& state, uint64_t origin, instant sent, instant now) {
+  return origin != state.self.incarnation &&
+         sent + state.options.orphan_limit - now < ShortestLease(state);
+}
+
 std::vector<part_id> FindParts(
     const engine& state, const std::function<bool(const part&)>& matches) {
   std::vector<part_id> found;
@@ -361,11 +369,11 @@
 }
 
 void AcceptPart(engine& state, uint64_t origin, const part_offer& offer,
-                instant now) {
+                instant sent, instant now) {
   if (state.part_index.contains({origin, offer.ref})) {
     return;
   }
-  part created = MakePart(state, origin, offer, now);
+  part created = MakePart(state, origin, offer, sent, now);
   microseconds wait{0};
   result_code refusal = CheckAdmission(state, created, wait, now);
   if (HasGivenUpTask(state, created.job.id)) {
@@ -374,6 +382,9 @@
     refusal = result_code::kNotRunCancelled;
   } else if (RunsForOtherRequest(state, origin, created)) {
     refusal = result_code::kRefusedForNow;
+  } else if (IsTooOld(state, origin, sent, now)) {
+    refusal = result_code::kRefusedForNow;
+    ++state.counts.offers_too_old;
   }
   if (refusal != result_code::kOk) {
     const milliseconds retry = RetryDelay(state.options, wait);
@@ -385,6 +396,8 @@
         .With("code", std::string(DescribeResultCode(refusal).name))
         .With("tasks", static_cast<int64_t>(created.tasks.size()))
         .With("wait_us", wait.count())
+        .With("offer_age_ms",
+              std::chrono::floor<milliseconds>(now - sent).count())
         .With("queued", static_cast<int64_t>(state.queue.size()));
     AddLogLine(state, line);
     return;
--- a/packages/fleet/src/peer_cmd.cc
+++ b/packages/fleet/src/peer_cmd.cc
@@ -127,10 +127,11 @@
 
 /// Handles a message from a peer or from this entry itself. Configuration
 /// updates are handled by the process, which decodes them.
+/// @param sent when it was sent, at the earliest.
 void HandleMessage(engine& state, uint64_t from, const peer_message& message,
-                   instant now) {
+                   instant sent, instant now) {
   if (const auto* offer = std::get_if<part_offer>(&message)) {
-    AcceptPart(state, from, *offer, now);
+    AcceptPart(state, from, *offer, sent, now);
   } else if (const auto* cancel = std::get_if<part_cancel>(&message)) {
     CancelPart(state, from, cancel->ref, true, now);
   } else if (const auto* result = std::get_if<part_result>(&message)) {
@@ -343,6 +344,37 @@
   }
 }
 
+/// Returns the earliest time, on this entry's clock, at which an envelope was
+/// sent.
+instant EarliestSent(const envelope& received, instant now) {
+  // Entries of earlier versions do not echo.
+  return received.echo ? std::min(now, received.echo->sent + received.echo->age)
+                       : now;
+}
+
+/// Keeps the time stamp of an envelope for echoes, if none that is recent was
+/// on its way for less time.
+void KeepForEcho(const engine& state, peer& one, const envelope& received,
+                 instant now) {
+  if (received.sent == instant{}) {
+    return;
+  }
+  const instant arrived = received.arrived.value_or(now);
+  if (!one.echo_sent ||
+      arrived - one.echo_arrived > state.options.echo_retention ||
+      arrived - received.sent <= one.echo_arrived - *one.echo_sent) {
+    one.echo_sent = received.sent;
+    one.echo_arrived = arrived;
+  }
+}
+
+std::optional<envelope_echo> MakeEcho(const peer& to, instant now) {
+  if (!to.echo_sent) {
+    return std::nullopt;
+  }
+  return envelope_echo{.sent = *to.echo_sent, .age = now - to.echo_arrived};
+}
+
 }  // namespace
 
 void AnnounceChange(engine& state, announcement to) {
@@ -407,6 +439,9 @@
     // Offers count only when the peer has seen this entry's stream.
     one.heartbeat_due = true;
   }
+  const instant sent = EarliestSent(received, now);
+  KeepForEcho(state, one, received, now);
+  one.known_alive = std::max(one.known_alive, sent);
   one.ever_heard = true;
   one.last_heard = now;
   one.stream_in = received.stream;
@@ -415,7 +450,7 @@
   const bool stream_matches = received.heard_stream == one.stream_out;
   for (const peer_message& message : received.messages) {
     if (stream_matches || !std::holds_alternative<part_offer>(message)) {
-      HandleMessage(state, received.from, message, now);
+      HandleMessage(state, received.from, message, sent, now);
     }
   }
   return true;
@@ -472,7 +507,7 @@
     const std::vector<peer_message> messages =
         std::exchange(state.loopback, {});
     for (const peer_message& message : messages) {
-      HandleMessage(state, state.self.incarnation, message, now);
+      HandleMessage(state, state.self.incarnation, message, now, now);
     }
   }
   std::optional<load_table> load;
@@ -499,6 +534,8 @@
                               .to = incarnation,
                               .stream = one.stream_out,
                               .heard_stream = one.stream_in,
+                              .sent = now,
+                              .echo = MakeEcho(one, now),
                               .load = *load,
                               .messages = std::exchange(one.outbox, {})}});
   }
--- a/packages/link/src/fleet_codec.cc
+++ b/packages/link/src/fleet_codec.cc
@@ -9,6 +9,7 @@
 namespace tarragondrift {
 namespace {
 
+using std::chrono::microseconds;
 using std::chrono::milliseconds;
 
 void EncodeLoad(const std::string& upstream, const fleet::load_report& from,
@@ -287,6 +288,11 @@
   to.set_to(from.to);
   to.set_stream(from.stream);
   to.set_heard_stream(from.heard_stream);
+  to.set_sent_us(from.sent.time_since_epoch().count());
+  if (from.echo) {
+    to.set_echo_us(from.echo->sent.time_since_epoch().count());
+    to.set_echo_age_us(from.echo->age.count());
+  }
   for (const auto& [upstream, load] : from.load) {
     EncodeLoad(upstream, load, *to.add_load());
   }
@@ -299,7 +305,12 @@
   fleet::envelope decoded{.from = from.from(),
                           .to = from.to(),
                           .stream = from.stream(),
-                          .heard_stream = from.heard_stream()};
+                          .heard_stream = from.heard_stream(),
+                          .sent = instant{microseconds{from.sent_us()}}};
+  if (from.echo_us() != 0) {
+    decoded.echo = {.sent = instant{microseconds{from.echo_us()}},
+                    .age = microseconds{from.echo_age_us()}};
+  }
   for (const wire::FleetLoad& load : from.load()) {
     decoded.load[load.upstream()] = DecodeLoad(load);
   }
--- a/packages/link/test/fleet_link_test.cc
+++ b/packages/link/test/fleet_link_test.cc
@@ -14,7 +14,13 @@
 constexpr const char* kAddress = "127.0.0.1:27431";
 
 fleet::envelope MakeFullEnvelope() {
-  fleet::envelope sent{.from = 1, .to = 2, .stream = 3, .heard_stream = 4};
+  fleet::envelope sent{
+      .from = 1,
+      .to = 2,
+      .stream = 3,
+      .heard_stream = 4,
+      .sent = instant{5s},
+      .echo = fleet::envelope_echo{.sent = instant{6s}, .age = 7us}};
   fleet::load_report load{.free_tasks = 5,
                           .free_not_slow = 4,
                           .free_fast = 3,
@@ -94,6 +100,10 @@
   CHECK(seen.to == 2);
   CHECK(seen.stream == 3);
   CHECK(seen.heard_stream == 4);
+  CHECK(seen.sent == instant{5s});
+  REQUIRE(seen.echo);
+  CHECK(seen.echo->sent == instant{6s});
+  CHECK(seen.echo->age == 7us);
   CHECK(seen.load["plata"].free_fast == 3);
   CHECK(seen.load["plata"].queued_within[6] == 7);
   REQUIRE(seen.messages.size() == sent.messages.size());
