fleet: a poll that was not sent does not take back the lease of a start

Cause: a poll without a connection did not extend the worker's lease, so the lease is set back to what it was before the poll, unless it has been extended since. A start in the same iteration of the loop extends it to the same time, which was not told apart; its run then counted as over up to 0.9 s before its lease ended, and its task was started elsewhere.

Change: a start that carries a lease makes that lease the one to go back to.

Test: "a poll that was not sent took back the lease of a start that was", failing before.

--- a/packages/fleet/src/worker_cmd.cc
+++ b/packages/fleet/src/worker_cmd.cc
@@ -547,6 +547,11 @@
       .last_order = now,
       .alone = placed_task.alone};
   destination.used = destination.used + step.need;
+  const std::optional<int64_t> lease = ExtendLease(state, destination, now);
+  if (lease) {
+    // If the poll in flight turns out not to have been sent, this lease stays.
+    destination.lease_before_poll = destination.lease_expiry;
+  }
   ++state.counts.starts;
   log_line line("task_start");
   line.With("job", name.task.job)
@@ -566,8 +571,7 @@
       .target = TargetFor(destination),
       .name = name,
       .payload = owning_part.job.payload,
-      .lease_until_ms = ExtendLease(state, destination, now)
-                            .value_or(EstimateWorkerClock(destination, now)),
+      .lease_until_ms = lease.value_or(EstimateWorkerClock(destination, now)),
       .fence = destination.fence});
 }
 
--- a/packages/fleet/test/control_test.cc
+++ b/packages/fleet/test/control_test.cc
@@ -410,5 +410,32 @@
   CHECK(starts.size() == 2);
 }
 
+TEST_CASE_METHOD(control_fixture,
+                 "a poll that was not sent took back the lease of a start that "
+                 "was") {
+  listing.data_centre = "east";
+  UpdateWorkerListing(state, listing, now);
+  Advance(1'500ms);
+  AnswerPoll({.outcome = poll_outcome::kAnswered});
+  // The poll and the start go out at the same time.
+  now += 200ms;
+  AnswerPoll({.outcome = poll_outcome::kAnswered});
+  SubmitJob(state,
+            {.request = 1,
+             .queue = "q",
+             .spec = {.id = "j",
+                      .steps = {{.count = 1,
+                                 .need = {.cpu_milli = 1'000},
+                                 .estimate = 900ms}}},
+             .caller_timeout = 4s},
+            now);
+  DispatchAndFlush(state, now);
+  CollectActions();
+  REQUIRE(starts.size() == 1);
+  const instant lease = state.workers.at("w").lease_expiry;
+  AnswerPoll({.outcome = poll_outcome::kNotSent});
+  CHECK(state.workers.at("w").lease_expiry == lease);
+}
+
 }  // namespace
 }  // namespace tarragondrift::fleet
