fleet: the lease of a stopped run ends before its job may be submitted again

Cause: tasks of jobs that came to the controller itself have no lease limit. If such a job ended early (its caller left, its deadline passed) and the worker answered polls but carried out no stop order, each poll renewed the lease, and the run went on beside the job's second submission. Tasks of other origins had the limit of the origin's last message.

Change: a run that is stopped since its part has ended keeps a lease limit 1.2 s later (orphan_limit; callers submit again after 1.3 s). Beyond it the worker's lease is not renewed until the run is gone, which also ends what else runs there: a worker that carries out no stop for that long cannot be told anything else.

Test: "a stop without an answer let a run go on ...", failing before.

--- a/packages/fleet/include/tarragondrift/fleet/worker_cmd.h
+++ b/packages/fleet/include/tarragondrift/fleet/worker_cmd.h
@@ -24,6 +24,11 @@
 void SendStop(engine& state, worker& destination, const run_name& name,
               instant now);
 
+/// Stops a run whose part has ended, so that its job may be submitted again: if
+/// its stop orders stay without effect, the worker's lease ends in time.
+void StopForGood(engine& state, worker& destination, const run_name& name,
+                 instant now);
+
 /// Handles the reply to a start order.
 /// @param clock_ms the worker's clock, 0 if not reported.
 void OnStartReply(engine& state, const std::string& id, const run_name& name,
--- a/packages/fleet/src/part_cmd.cc
+++ b/packages/fleet/src/part_cmd.cc
@@ -98,7 +98,7 @@
   for (const task& one : owner.tasks) {
     const auto at = state.workers.find(one.worker);
     if (one.phase == task_phase::kPlaced && at != state.workers.end()) {
-      SendStop(
+      StopForGood(
           state, at->second,
           {.task = {.job = owner.job.id, .step = one.step, .index = one.index},
            .run = one.run},
--- a/packages/fleet/src/worker_cmd.cc
+++ b/packages/fleet/src/worker_cmd.cc
@@ -588,6 +588,16 @@
                                     .fence = destination.fence});
 }
 
+void StopForGood(engine& state, worker& destination, const run_name& name,
+                 instant now) {
+  const auto found = destination.runs.find(name);
+  if (found != destination.runs.end()) {
+    found->second.lease_limit =
+        std::min(found->second.lease_limit, now + state.options.orphan_limit);
+  }
+  SendStop(state, destination, name, now);
+}
+
 void OnStartReply(engine& state, const std::string& id, const run_name& name,
                   start_outcome outcome, int64_t clock_ms, instant now) {
   const auto at = state.workers.find(id);
--- a/packages/fleet/test/control_test.cc
+++ b/packages/fleet/test/control_test.cc
@@ -1,4 +1,5 @@
 // Control of workers by entries, also under network partitions.
+#include <algorithm>
 #include <catch2/catch.hpp>
 #include <memory>
 #include <variant>
@@ -437,5 +438,44 @@
   CHECK(state.workers.at("w").lease_expiry == lease);
 }
 
+// Callers submit a job again 1.3 s after its end; a worker that answers polls
+// but not stops was kept at work on it.
+TEST_CASE_METHOD(control_fixture,
+                 "a stop without an answer let a run go on for as long as the "
+                 "worker was polled") {
+  listing.data_centre = "east";
+  UpdateWorkerListing(state, listing, now);
+  Advance(1'500ms);
+  AnswerPoll({.outcome = poll_outcome::kAnswered});
+  SubmitJob(state,
+            {.request = 1,
+             .queue = "q",
+             .spec = {.id = "j",
+                      .steps = {{.count = 1,
+                                 .need = {.cpu_milli = 1'000},
+                                 .estimate = 900ms}}},
+             .caller_timeout = 4s},
+            now);
+  Advance(20ms);
+  REQUIRE(starts.size() == 1);
+  OnStartReply(state, "w", starts[0].name, start_outcome::kAccepted, 1'000,
+               now);
+  CallerLeft(state, 1, now);
+  const instant left = now;
+  // The worker's clock reads 1,000 ms in each of its replies.
+  instant lease_end = state.workers.at("w").lease_expiry;
+  while (now < lease_end && now < left + 3s) {
+    Advance(100ms);
+    AnswerPoll({.outcome = poll_outcome::kAnswered,
+                .running = {{.name = starts[0].name}}});
+    if (last_poll.lease_until_ms) {
+      lease_end = std::max(
+          lease_end,
+          now + std::chrono::milliseconds(*last_poll.lease_until_ms - 1'000));
+    }
+  }
+  CHECK(lease_end <= left + state.options.orphan_limit);
+}
+
 }  // namespace
 }  // namespace tarragondrift::fleet
