fleet: a cancellation reaches an entry that was paused or not yet known

Cause: the cancellation of a job was queued once for each contact. A delivery that is lost begins a new message stream and clears the queue, and nothing kept the cancellation for that peer. An entry that knew no peers yet queued it for nobody. Parts of a sender's jobs are dropped with its stream, but the job was the paused entry's own.

Ruled out: the relay by candidates (a full mesh does not relay, and the paused entry is reached by nobody), the list of cancelled jobs at the entry that took the DELETE (kept for 10 s, but used for jobs submitted there only).

Change: since when a peer may have missed cancellations is kept for each peer, from the start, from a new stream or from the end of contact on. What was cancelled since (10 s at most) is queued with the first message after it is heard again, and again after a lost delivery, until it is acknowledged.

Tests: "a cancellation was lost with a delivery to a paused entry" and "... at an entry that knew no peers yet", both failing before.

--- a/packages/fleet/include/tarragondrift/fleet/peer_base.h
+++ b/packages/fleet/include/tarragondrift/fleet/peer_base.h
@@ -212,6 +212,12 @@
   bool keepalive_due = false;
   /// The envelope in flight has messages other than heartbeats.
   bool in_flight_has_content = false;
+  /// It may have missed cancellations of jobs since this time; unset once it
+  /// has acknowledged them. They are in the outbox, or in the envelope in
+  /// flight.
+  std::optional<instant> missed_cancels_since = instant{};
+  bool missed_cancels_queued = false;
+  bool in_flight_has_missed_cancels = false;
   std::vector<peer_message> outbox;
   load_table load;
   /// When `load` was received.
--- a/packages/fleet/src/contact_cmd.cc
+++ b/packages/fleet/src/contact_cmd.cc
@@ -219,6 +219,9 @@
   one.unacknowledged_since.reset();
   ++one.stream_out;
   one.outbox.clear();
+  one.missed_cancels_queued = false;
+  one.missed_cancels_since =
+      one.missed_cancels_since.value_or(one.last_acknowledged);
 }
 
 bool NeedsWorkerList(const engine& state) {
--- a/packages/fleet/src/peer_cmd.cc
+++ b/packages/fleet/src/peer_cmd.cc
@@ -52,12 +52,35 @@
   AddLogLine(state, line, true);
 }
 
+/// Queues the cancellations that a peer may have missed.
+void QueueMissedCancels(const engine& state, peer& one) {
+  if (!one.missed_cancels_since) {
+    return;
+  }
+  one.missed_cancels_queued = true;
+  for (const auto& [job, cancelled] : state.cancelled) {
+    if (cancelled >= *one.missed_cancels_since) {
+      one.outbox.emplace_back(job_cancel{.job = job});
+    }
+  }
+}
+
 /// Cancels all parts that this entry and a peer carry out for each other, and
 /// begins a new message stream.
 void ResetPeer(engine& state, peer& one, instant now) {
   const uint64_t incarnation = one.identity.incarnation;
   ++one.stream_out;
   one.outbox.clear();
+  one.missed_cancels_queued = false;
+  if (!one.missed_cancels_since) {
+    // What was queued before the last acknowledged envelope was sent has
+    // arrived.
+    one.missed_cancels_since =
+        one.last_acknowledged - state.options.max_delivery_time;
+  }
+  if (!one.silent) {
+    QueueMissedCancels(state, one);
+  }
   CancelPartsFrom(state, incarnation, now);
   FailPartsAt(state, incarnation, now);
 }
@@ -434,6 +457,7 @@
     LogPeerEvent(state, "peer_heard", one, "message", now);
     one.silent = false;
     state.next_contact_choice = now;
+    QueueMissedCancels(state, one);
   }
   if (!one.ever_heard || one.stream_in != received.stream) {
     // Offers count only when the peer has seen this entry's stream.
@@ -467,6 +491,9 @@
   if (outcome == delivery::kDelivered) {
     one.last_acknowledged = now;
     one.unacknowledged_since.reset();
+    if (one.in_flight_has_missed_cancels) {
+      one.missed_cancels_since.reset();
+    }
   } else if (outcome == delivery::kOtherProcess) {
     MarkSilent(state, one, "other_process", now);
     one.claims.clear();
@@ -524,6 +551,8 @@
       one.unacknowledged_since = now;
     }
     one.keepalive_due = false;
+    one.in_flight_has_missed_cancels =
+        std::exchange(one.missed_cancels_queued, false);
     one.in_flight_has_content = std::any_of(
         one.outbox.begin(), one.outbox.end(), [](const peer_message& message) {
           return !std::holds_alternative<heartbeat>(message);
--- a/packages/fleet/test/contact_test.cc
+++ b/packages/fleet/test/contact_test.cc
@@ -384,5 +384,35 @@
   CHECK(one.cancels == one.Contacts() - 1);
 }
 
+TEST_CASE("a cancellation was lost with a delivery to a paused entry") {
+  fleet_fixture one({.data_centres = 2, .strong = 1, .weak = 2, .workers = 6},
+                    0);
+  one.Advance(1s);
+  const uint64_t paused = one.state.peers.begin()->first;
+  one.down = {paused};
+  one.Advance(100ms);
+  CancelJob(one.state, "job", one.now);
+  one.Advance(3s);
+  one.cancels = 0;
+  one.down.clear();
+  one.Advance(1s);
+  CHECK(one.cancels == 1);
+  // It has arrived, so it is not repeated after the next pause.
+  one.Advance(2s);
+  one.down = {paused};
+  one.Advance(2s);
+  one.down.clear();
+  one.Advance(1s);
+  CHECK(one.cancels == 1);
+}
+
+TEST_CASE("a cancellation was lost at an entry that knew no peers yet") {
+  fleet_fixture one({.data_centres = 1, .strong = 1, .weak = 1, .workers = 6},
+                    0);
+  CancelJob(one.state, "job", one.now);
+  one.Advance(1s);
+  CHECK(one.cancels == 1);
+}
+
 }  // namespace
 }  // namespace tarragondrift::fleet
