fleet: a restarted worker gets no tasks before its new description is known

Cause: the reply to a poll tells that another process answers, but its labels, capacity and upstream come with its row, which the list follows with a pause of half a second; until then the earlier description was used. Besides, a reply to a start or stop order counted as the end of a failed poll, though only a poll's reply says which process answers.

Ruled out: rows of the earlier process (kept out by their boot time), an order in flight at the restart (answered by the process that was meant).

Change: a worker keeps the boot time that its description came with, and gets no starts while that is not the boot time of the process that answers; workers told by peers carry it too. After a failed poll a worker gets no starts until a reply to a later one.

Tests: "a worker that restarted as another kind ..." and "a worker whose poll failed ...", both failing before.

Changed test: "an old row of a restarted worker is not another crash" let a task start on the restarted worker while only the row of its earlier process was known, which is the fault. The fixture now writes the new row first; the old row still comes during the run, and all checks are as they were.

--- a/packages/fleet/include/tarragondrift/fleet/worker_base.h
+++ b/packages/fleet/include/tarragondrift/fleet/worker_base.h
@@ -103,6 +103,9 @@
 /// This entry's state of a worker.
 struct worker {
   worker_listing listing;
+  /// The boot time that its description in `listing` came with; 0 if unknown.
+  /// Its next process may have other labels, capacity and upstream.
+  int64_t described_boot_time_ms = 0;
   /// Whether the platform lists it.
   bool listed = true;
   /// When it left the list; valid only while `listed` is false.
@@ -138,6 +141,8 @@
   /// refused a connection since then.
   uint32_t failed_polls = 0;
   bool refused = false;
+  /// A poll failed, and no reply to a later one has said which process answers.
+  bool process_unconfirmed = false;
   /// Until when it is known to have been alive: `last_heard`, or when its
   /// connection broke under a poll.
   instant last_alive;
--- a/packages/fleet/src/placement_cmd.cc
+++ b/packages/fleet/src/placement_cmd.cc
@@ -93,6 +93,13 @@
                      [](const auto& entry) { return entry.second.alone; });
 }
 
+/// Whether the description of a worker is that of an earlier process: the list
+/// of workers lags behind their replies.
+bool IsDescriptionOutdated(const worker& candidate) {
+  return candidate.described_boot_time_ms != 0 &&
+         candidate.described_boot_time_ms != candidate.listing.boot_time_ms;
+}
+
 /// Whether a worker gets one run at a time until a run succeeds: after its
 /// ejection, and after the evacuation of its data centre.
 bool MustProveItself(const engine& state, const worker& candidate) {
@@ -148,8 +155,8 @@
 
 bool AcceptsStarts(const engine& state, const worker& candidate, instant now) {
   if (candidate.phase != control_phase::kHeld || candidate.has_unknown_runs ||
-      candidate.listing.draining || now < candidate.no_starts_until ||
-      now < candidate.health.ejected_until ||
+      candidate.listing.draining || IsDescriptionOutdated(candidate) ||
+      now < candidate.no_starts_until || now < candidate.health.ejected_until ||
       (now < candidate.suspect_until && !state.ignores_suspicion) ||
       IsEvacuated(state, candidate.listing.data_centre)) {
     return false;
@@ -160,7 +167,7 @@
   }
   // The outcome of a start sent to a worker that stopped answering would have
   // to be resolved afterwards.
-  if (candidate.failed_polls > 0 ||
+  if (candidate.failed_polls > 0 || candidate.process_unconfirmed ||
       now - candidate.last_heard >
           state.options.poll_wait + state.options.poll_timeout) {
     return false;
--- a/packages/fleet/src/worker_cmd.cc
+++ b/packages/fleet/src/worker_cmd.cc
@@ -74,6 +74,7 @@
     one.last_alive = now;
   }
   ++one.failed_polls;
+  one.process_unconfirmed = true;
   one.refused = one.refused || refused;
   const bool extended_since = one.lease_expiry != one.lease_after_poll;
   if (outcome != poll_outcome::kUnknown && !extended_since) {
@@ -494,6 +495,7 @@
   const bool restarted =
       known && boot_time_ms != 0 && listing.boot_time_ms > boot_time_ms;
   one.listing = listing;
+  one.described_boot_time_ms = listing.boot_time_ms;
   one.listed = true;
   one.told_by_peer = false;
   if (known && boot_time_ms != 0) {
@@ -724,6 +726,7 @@
     HandleWorkerRestart(state, one, reply.boot_time_ms, now);
   }
   RecordReply(state, one, clock_ms, now);
+  one.process_unconfirmed = false;
   ProcessEndedRuns(state, one, reply, now);
   ReconcileRuns(state, one, reply, now);
   CheckProgress(state, one, now);
--- a/packages/fleet/src/worker_list_cmd.cc
+++ b/packages/fleet/src/worker_list_cmd.cc
@@ -63,6 +63,7 @@
     if (IsControlled(known) && known.listed &&
         known.listing.data_centre == one.identity.data_centre) {
       told.workers.push_back(known.listing);
+      told.workers.back().boot_time_ms = known.described_boot_time_ms;
     }
   }
   if (told.workers.empty()) {
--- a/packages/fleet/test/control_test.cc
+++ b/packages/fleet/test/control_test.cc
@@ -2,6 +2,7 @@
 #include <algorithm>
 #include <catch2/catch.hpp>
 #include <memory>
+#include <string>
 #include <variant>
 
 #include "tarragondrift/fleet/caller_cmd.h"
@@ -477,5 +478,69 @@
   CHECK(lease_end <= left + state.options.orphan_limit);
 }
 
+/// Submits a job that needs a label.
+void SubmitLabelled(control_fixture& one, uint64_t request) {
+  SubmitJob(one.state,
+            {.request = request,
+             .queue = "q",
+             .spec = {.id = "job" + std::to_string(request),
+                      .steps = {{.count = 1,
+                                 .need = {.cpu_milli = 1'000},
+                                 .estimate = 100ms,
+                                 .label = "ka"}}},
+             .caller_timeout = 4s},
+            one.now);
+  one.Advance(20ms);
+}
+
+TEST_CASE_METHOD(control_fixture,
+                 "a worker that restarted as another kind got tasks by its "
+                 "earlier description") {
+  listing.data_centre = "east";
+  listing.labels = {"ka"};
+  listing.boot_time_ms = 1;
+  UpdateWorkerListing(state, listing, now);
+  Advance(1'500ms);
+  AnswerPoll({.outcome = poll_outcome::kAnswered, .boot_time_ms = 1});
+  SubmitLabelled(*this, 1);
+  REQUIRE(starts.size() == 1);
+  OnStartReply(state, "w", starts[0].name, start_outcome::kAccepted, 1'000,
+               now);
+  // The row of the new process comes later than its reply to a poll.
+  AnswerPoll({.outcome = poll_outcome::kAnswered, .boot_time_ms = 2});
+  Advance(20ms);
+  AnswerPoll({.outcome = poll_outcome::kAnswered, .boot_time_ms = 2});
+  SubmitLabelled(*this, 2);
+  CHECK(starts.size() == 1);
+  listing.boot_time_ms = 2;
+  UpdateWorkerListing(state, listing, now);
+  Advance(20ms);
+  CHECK(starts.size() > 1);
+}
+
+TEST_CASE_METHOD(
+    control_fixture,
+    "a worker whose poll failed got tasks before it had said which "
+    "process answers") {
+  listing.data_centre = "east";
+  listing.labels = {"ka"};
+  listing.boot_time_ms = 1;
+  UpdateWorkerListing(state, listing, now);
+  Advance(1'500ms);
+  AnswerPoll({.outcome = poll_outcome::kAnswered, .boot_time_ms = 1});
+  SubmitLabelled(*this, 1);
+  REQUIRE(starts.size() == 1);
+  AnswerPoll({.outcome = poll_outcome::kUnknown});
+  OnStartReply(state, "w", starts[0].name, start_outcome::kAccepted, 1'000,
+               now);
+  SubmitLabelled(*this, 2);
+  CHECK(starts.size() == 1);
+  AnswerPoll({.outcome = poll_outcome::kAnswered,
+              .running = {{.name = starts[0].name}},
+              .boot_time_ms = 1});
+  Advance(20ms);
+  CHECK(starts.size() == 2);
+}
+
 }  // namespace
 }  // namespace tarragondrift::fleet
--- a/packages/fleet/test/crash_test.cc
+++ b/packages/fleet/test/crash_test.cc
@@ -433,6 +433,7 @@
   one.Crash(host);
   host.up_again = one.now;
   one.Advance(400ms);
+  UpdateWorkerListing(one.state, crash_fixture::Listing(host), one.now);
   one.Submit(1, "job", 1, 8s);
   one.Advance(100ms);
   const task_name task{.job = "job"};
