--- a/packages/fleet/include/tarragondrift/fleet/fleet_options_base.h
+++ b/packages/fleet/include/tarragondrift/fleet/fleet_options_base.h
@@ -116,8 +116,8 @@
   /// until it does. More than one 100 ms period of a processor quota, after
   /// which a live entry acknowledges, and the round trip.
   milliseconds offer_response_limit{150};
-  /// A delivery that is not acknowledged within this time is lost. Not less than
-  /// the timeout of the host process.
+  /// A delivery without an acknowledgement for this long is lost. Not below the
+  /// timeout of the host process.
   milliseconds max_delivery_time{1'000};
   /// An entry that handled no event for this long was paused by its host; its
   /// peers may be about to mark it silent. Ticks come every 20 ms.
