--- a/packages/bench/fleet/tests.cmake
+++ b/packages/bench/fleet/tests.cmake
@@ -10,11 +10,14 @@
              COMMAND bench_fleet --seeds 1 --first ${seed})
   endforeach()
   foreach(mutation no_fence_check no_lease_wait keep_silent_home no_settling
-                   ignore_draining forget_crashes no_message_age)
+                   ignore_draining forget_crashes)
     add_test(NAME fleet_catches_${mutation}
              COMMAND bench_fleet --seeds 2000 --threads 2 --mutation ${mutation}
                      --expect-caught)
   endforeach()
+  add_test(NAME fleet_catches_no_message_age
+           COMMAND bench_fleet --seeds 400 --threads 2 --mutation no_message_age
+                   --expect-caught)
   # Every tenth seed has evacuations, which break these almost always.
   foreach(mutation ignore_evacuation no_evacuation_relay)
     add_test(NAME fleet_catches_${mutation}
