--- a/packages/bench/fleet/main.cc
+++ b/packages/bench/fleet/main.cc
@@ -135,7 +135,8 @@
 
 /// Returns the schedules of a seed. Every tenth seed is played once more,
 /// longer and with evacuations; every second of those has no other faults, so
-/// that knowledge travels between peers undisturbed.
+/// that knowledge travels between peers undisturbed. Every fifth seed is played
+/// once more with messages that are held up.
 std::vector<fleet_schedule> MakeSchedules(uint64_t seed,
                                           const options& chosen) {
   constexpr uint64_t kEvacuatedEvery = 10;
