--- a/packages/fleet/test/control_test.cc
+++ b/packages/fleet/test/control_test.cc
@@ -439,8 +439,7 @@
   CHECK(state.workers.at("w").lease_expiry == lease);
 }
 
-// Callers submit a job again 1.3 s after its end; a worker that answers polls
-// but not stops was kept at work on it.
+// The job may be submitted again 1.3 s after its end.
 TEST_CASE_METHOD(control_fixture,
                  "a stop without an answer let a run go on for as long as the "
                  "worker was polled") {
