--- a/packages/fleet/include/tarragondrift/fleet/claim_base.h
+++ b/packages/fleet/include/tarragondrift/fleet/claim_base.h
@@ -121,7 +121,10 @@
   std::vector<uint64_t> awaited;
   /// All entries that were asked or told.
   std::vector<uint64_t> told;
-  bool granted = false;
+  /// Those that granted it.
+  std::vector<uint64_t> granted_by;
+  /// Digest of the entries among which they were chosen, for the log.
+  uint64_t list_digest = 0;
   /// An arbiter waits for the end of an earlier submission.
   bool pending = false;
   uint32_t asks = 0;
--- a/packages/fleet/include/tarragondrift/fleet/claim_cmd.h
+++ b/packages/fleet/include/tarragondrift/fleet/claim_cmd.h
@@ -12,16 +12,19 @@
 
 #include "tarragondrift/fleet/admission_cmd.h"
 #include "tarragondrift/fleet/engine_base.h"
+#include "tarragondrift/fleet/engine_cmd.h"
 
 namespace tarragondrift::fleet {
 
 /// Asks the arbiters of a job that is to be started.
-/// @return those that granted the claim at once; unset if the job waits in
+/// @return the claim if it was granted at once; unset if the job waits in
 ///   `state.claiming_jobs` or was answered.
-std::optional<std::vector<uint64_t>> ClaimJob(engine& state,
-                                              const job_arrival& arrival,
-                                              const job_plan& plan,
-                                              instant now);
+std::optional<claim_inquiry> ClaimJob(engine& state, const job_arrival& arrival,
+                                      const job_plan& plan, instant now);
+
+/// Adds to a log line which arbiters granted a claim, how many were asked, and
+/// a digest of the entries among which they were chosen.
+void DescribeGrant(log_line& line, const claim_inquiry& inquiry);
 
 /// When an end of a claim is sent.
 enum class release_sending : uint8_t { kWithNextEnvelope, kAtOnce };
--- a/packages/fleet/src/caller_cmd.cc
+++ b/packages/fleet/src/caller_cmd.cc
@@ -443,9 +443,9 @@
 }
 
 /// Registers a job and offers its parts.
-/// @param arbiters the entries that granted its claim.
+/// @param claim its claim, which was granted.
 void AcceptJob(engine& state, job_arrival arrival, job_plan plan,
-               std::vector<uint64_t> arbiters, instant now) {
+               claim_inquiry claim, instant now) {
   const uint64_t number = ++state.last_job;
   ++state.counts.jobs;
   log_line line("job_accepted");
@@ -465,6 +465,7 @@
       .With("config", static_cast<int64_t>(state.config->version))
       .With("parts", static_cast<int64_t>(plan.parts.size()));
   DescribeRequest(line, arrival, plan);
+  DescribeGrant(line, claim);
   AddLogLine(state, line);
   state.counts.resubmissions += plan.waited.count() > 0 ? 1 : 0;
   state.job_by_id[arrival.spec.id] = number;
@@ -482,7 +483,7 @@
          .times = arrival.times,
          .parts = std::move(plan.parts),
          .share = plan.size,
-         .arbiters = std::move(arbiters),
+         .arbiters = std::move(claim.told),
          .claimed_request = arrival.request};
   RecordAsked(state.shares, job.queue, job.share, true, now);
   for (uint32_t part = 0; part < job.parts.size(); ++part) {
@@ -494,9 +495,9 @@
 /// if there is no need to.
 void ClaimOrAcceptJob(engine& state, job_arrival arrival, job_plan plan,
                       instant now) {
-  auto arbiters = ClaimJob(state, arrival, plan, now);
-  if (arbiters) {
-    AcceptJob(state, std::move(arrival), std::move(plan), std::move(*arbiters),
+  auto claim = ClaimJob(state, arrival, plan, now);
+  if (claim) {
+    AcceptJob(state, std::move(arrival), std::move(plan), std::move(*claim),
               now);
   }
 }
@@ -550,7 +551,7 @@
   job_plan plan = PlanJob(state, claimed.arrival, claimed.arrived, now);
   if (plan.refusal == result_code::kOk) {
     AcceptJob(state, std::move(claimed.arrival), std::move(plan),
-              std::move(claimed.inquiry.told), now);
+              std::move(claimed.inquiry), now);
     return;
   }
   ReleaseClaims(
--- a/packages/fleet/src/claim_cmd.cc
+++ b/packages/fleet/src/claim_cmd.cc
@@ -5,9 +5,11 @@
 #include <string>
 #include <utility>
 
+#include "tarragondrift/core/fnv_hash.h"
 #include "tarragondrift/fleet/arbiter_cmd.h"
 #include "tarragondrift/fleet/arbiter_list_cmd.h"
 #include "tarragondrift/fleet/caller_cmd.h"
+#include "tarragondrift/fleet/engine_cmd.h"
 #include "tarragondrift/fleet/outbox_cmd.h"
 
 namespace tarragondrift::fleet {
@@ -42,6 +44,15 @@
   return chosen == 0 ? std::vector<uint64_t>{} : std::vector{chosen};
 }
 
+/// Returns a digest of a list of entries, to compare the lists of two entries.
+uint64_t DigestOf(const std::vector<controller_candidate>& entries) {
+  uint64_t digest = kFnvOffset;
+  for (const controller_candidate& one : entries) {
+    digest = AddToFnv(digest, std::to_string(one.incarnation));
+  }
+  return digest;
+}
+
 bool Contains(const std::vector<uint64_t>& arbiters, uint64_t arbiter) {
   return std::find(arbiters.begin(), arbiters.end(), arbiter) != arbiters.end();
 }
@@ -72,7 +83,7 @@
       inquiry.pending = outcome == claim_outcome::kPending;
       return outcome;
     }
-    inquiry.granted = true;
+    inquiry.granted_by.push_back(arbiter);
     inquiry.awaited.erase(inquiry.awaited.begin());
   }
   return claim_outcome::kGranted;
@@ -89,6 +100,7 @@
       claim.relay = ClaimsByRelay(state, now);
     }
     inquiry.awaited = ChooseAsked(state, claim, now);
+    inquiry.list_digest = DigestOf(ListAsked(state, claim.relay, 0, now));
     if (inquiry.awaited.empty() && IsListening(state, now)) {
       inquiry.asked = now;
       return claim_outcome::kPending;
@@ -102,7 +114,7 @@
              std::chrono::floor<milliseconds>(now - inquiry.asked));
     inquiry.awaited.erase(inquiry.awaited.begin());
   }
-  if (inquiry.awaited.empty() && !inquiry.granted &&
+  if (inquiry.awaited.empty() && inquiry.granted_by.empty() &&
       inquiry.asks < state.options.max_claim_asks) {
     const uint64_t next = ChooseArbiter(
         ListAsked(state, claim.relay, unanswered, now), claim.job, unanswered);
@@ -110,7 +122,7 @@
       inquiry.awaited.push_back(next);
     }
   }
-  const bool unproven = inquiry.awaited.empty() && !inquiry.granted;
+  const bool unproven = inquiry.awaited.empty() && inquiry.granted_by.empty();
   if (inquiry.pending || (claim.repeated && unproven)) {
     return claim_outcome::kRefused;
   }
@@ -134,7 +146,7 @@
     return claim_outcome::kPending;
   }
   inquiry.pending = false;
-  inquiry.granted = true;
+  inquiry.granted_by.push_back(from);
   inquiry.awaited.erase(awaited);
   return AskArbiters(state, inquiry, now);
 }
@@ -201,6 +213,12 @@
   SendVerdict(state, claim.origin, claim.job, AttemptOf(claim), outcome);
   if (outcome == claim_outcome::kGranted) {
     at->second.answered = true;
+    log_line line("claim_relayed");
+    line.With("job", claim.job)
+        .With("origin", static_cast<int64_t>(claim.origin))
+        .With("request", static_cast<int64_t>(claim.request));
+    DescribeGrant(line, at->second.inquiry);
+    AddLogLine(state, line);
     TellRunning(state, ListArbiters(state, now), claim,
                 at->second.inquiry.told);
     return;
@@ -230,6 +248,7 @@
   }
   relayed.answered = false;
   relayed.inquiry.awaited = ChooseArbiters(state, claim.job, now);
+  relayed.inquiry.list_digest = DigestOf(ListArbiters(state, now));
   if (relayed.inquiry.awaited.empty() && IsListening(state, now)) {
     return;
   }
@@ -364,12 +383,10 @@
 
 }  // namespace
 
-std::optional<std::vector<uint64_t>> ClaimJob(engine& state,
-                                              const job_arrival& arrival,
-                                              const job_plan& plan,
-                                              instant now) {
+std::optional<claim_inquiry> ClaimJob(engine& state, const job_arrival& arrival,
+                                      const job_plan& plan, instant now) {
   if (IsOff(state.options.without, mechanism::kJobClaims)) {
-    return std::vector<uint64_t>{};
+    return claim_inquiry{};
   }
   claiming_job waiting{
       .arrival = arrival,
@@ -384,6 +401,7 @@
                   .asked = now}};
   claim_inquiry& inquiry = waiting.inquiry;
   inquiry.awaited = ChooseAsked(state, inquiry.claim, now);
+  inquiry.list_digest = DigestOf(ListAsked(state, inquiry.claim.relay, 0, now));
   const bool unknown = inquiry.awaited.empty() && plan.repeated;
   auto outcome = claim_outcome::kPending;
   if (!inquiry.awaited.empty() || !IsListening(state, now)) {
@@ -393,7 +411,7 @@
   if (outcome == claim_outcome::kGranted) {
     TellRunning(state, ListAsked(state, inquiry.claim.relay, 0, now),
                 MakeClaim(inquiry, now), inquiry.told);
-    return std::move(inquiry.told);
+    return std::move(inquiry);
   }
   state.claiming_jobs[arrival.request] = std::move(waiting);
   if (outcome == claim_outcome::kRefused) {
@@ -403,6 +421,18 @@
   return std::nullopt;
 }
 
+void DescribeGrant(log_line& line, const claim_inquiry& inquiry) {
+  std::string granted_by;
+  for (const uint64_t arbiter : inquiry.granted_by) {
+    granted_by += (granted_by.empty() ? "" : ",") + std::to_string(arbiter);
+  }
+  // Two lists of the same entries have the same low digits.
+  constexpr uint64_t kShownDigits = 1'000'000;
+  line.With("granted_by", granted_by.empty() ? "none" : granted_by)
+      .With("asks", static_cast<int64_t>(inquiry.asks))
+      .With("list", static_cast<int64_t>(inquiry.list_digest % kShownDigits));
+}
+
 void ReleaseClaims(engine& state, const std::vector<uint64_t>& arbiters,
                    const claim_release& release, release_sending sending,
                    instant now) {
