--- a/packages/bench/fleet/fleet_carry.cc
+++ b/packages/bench/fleet/fleet_carry.cc
@@ -161,11 +161,8 @@
       });
     }
   };
-  const auto cut = [this, at, to] {
-    return cut_entries_.contains(at) || cut_entries_.contains(to);
-  };
-  loop_.At(ArrivalOf(at, to), [this, to, message, told, cut] {
-    if (cut()) {
+  loop_.At(ArrivalOf(at, to), [this, at, to, message, told] {
+    if (IsLinkCut(at, to)) {
       return;
     }
     sim_entry& other = entries_[to];
@@ -178,8 +175,8 @@
     Do(to, other.incarnation, [this, message](fleet::engine& state) {
       fleet::OnEnvelope(state, message.content, loop_.now());
     });
-    loop_.After(kOneWay, [told, meant, cut] {
-      if (!cut()) {
+    loop_.After(kOneWay, [this, at, to, told, meant] {
+      if (!IsLinkCut(to, at)) {
         told(meant ? fleet::delivery::kDelivered
                    : fleet::delivery::kOtherProcess);
       }
--- a/packages/bench/fleet/fleet_faults.cc
+++ b/packages/bench/fleet/fleet_faults.cc
@@ -163,6 +163,53 @@
   }
 }
 
+/// Cuts some entries off from the others, in one direction or both. Messages
+/// are lost, or arrive when the cut has healed.
+void world::CutEntries() {
+  const uint32_t share = 3;
+  const uint32_t count = 1 + Below(std::max(1U, schedule_.entries / share));
+  std::set<size_t> group;
+  while (group.size() < count) {
+    group.insert(Below(schedule_.entries));
+  }
+  const uint32_t direction = Below(4);
+  const bool delivers_later = Fraction() < 0.3;
+  const instant until = loop_.now() + milliseconds(500 + Below(5'000));
+  std::string names;
+  for (const size_t one : group) {
+    names += ' ' + std::to_string(one);
+  }
+  Trace("fault",
+        "entries cut off direction=" + std::to_string(direction) +
+            " later=" + std::to_string(delivers_later ? 1 : 0) + " until_ms=" +
+            std::to_string(
+                std::chrono::floor<milliseconds>(until.time_since_epoch())
+                    .count()) +
+            " entries=" + names);
+  auto& links = delivers_later ? held_links_ : cut_links_;
+  for (const size_t inside : group) {
+    for (size_t outside = 0; outside < entries_.size(); ++outside) {
+      if (group.contains(outside)) {
+        continue;
+      }
+      if (direction != 0) {
+        instant& end = links[{inside, outside}];
+        end = std::max(end, until);
+      }
+      if (direction != 1) {
+        instant& end = links[{outside, inside}];
+        end = std::max(end, until);
+      }
+    }
+  }
+}
+
+bool world::IsLinkCut(size_t from, size_t to) const {
+  const auto at = cut_links_.find({from, to});
+  return cut_entries_.contains(from) || cut_entries_.contains(to) ||
+         (at != cut_links_.end() && loop_.now() < at->second);
+}
+
 /// Returns when a message that is sent now arrives.
 instant world::ArrivalOf(size_t from, size_t to) const {
   const instant normal = loop_.now() + kOneWay;
--- a/packages/bench/fleet/fleet_sim.cc
+++ b/packages/bench/fleet/fleet_sim.cc
@@ -359,6 +359,11 @@
                                  schedule_.length.count())))),
              [this] { HoldLinks(); });
   }
+  for (uint32_t cut = 0; cut < schedule_.entry_cuts; ++cut) {
+    loop_.At(instant(kLead + milliseconds(Below(static_cast<uint32_t>(
+                                 schedule_.length.count())))),
+             [this] { CutEntries(); });
+  }
   for (const evacuation_change& change :
        PlanEvacuations(schedule_, instant(kLead))) {
     loop_.At(change.at, [this, change] { Evacuate(change); });
--- a/packages/bench/fleet/fleet_sim.h
+++ b/packages/bench/fleet/fleet_sim.h
@@ -55,6 +55,9 @@
   /// Times in which messages to an entry are held up and arrive afterwards,
   /// many of them after their sender has given them up.
   uint32_t held_links = 0;
+  /// Times in which some entries are cut off from the other entries, but not
+  /// from callers, workers and the store.
+  uint32_t entry_cuts = 0;
   /// Share of the callers' requests that arrive late, or whose end of the
   /// connection does, and whether such a caller gives the rest of its time to
   /// the next submission, or all of it again.
--- a/packages/bench/fleet/fleet_world.h
+++ b/packages/bench/fleet/fleet_world.h
@@ -148,6 +148,8 @@
   void ResendLater(const std::string& id, milliseconds wait);
   void Fault();
   void HoldLinks();
+  void CutEntries();
+  bool IsLinkCut(size_t from, size_t to) const;
   instant ArrivalOf(size_t from, size_t to) const;
   void Evacuate(const evacuation_change& change);
   void TellEvacuations(size_t entry);
@@ -177,6 +179,8 @@
   std::set<std::pair<size_t, size_t>> cut_pairs_;
   /// When the messages between two entries that are held up will arrive.
   std::map<std::pair<size_t, size_t>, instant> held_links_;
+  /// Until when the messages from one entry to another are lost.
+  std::map<std::pair<size_t, size_t>, instant> cut_links_;
   /// Share of orders that get no answer and are carried out late.
   double late_share_ = 0;
   std::map<std::string, sim_job> jobs_;
--- a/packages/bench/fleet/main.cc
+++ b/packages/bench/fleet/main.cc
@@ -325,6 +325,33 @@
        .context = "seeds=40030,40042,40052,40238,40253,40321,40378,40411"});
 }
 
+/// Plays late requests of such callers while entries are cut off from other
+/// entries, and callers and workers reach both parts; every second schedule has
+/// other faults as well.
+void PrintCutEntries(const options& chosen) {
+  constexpr uint64_t kFirstSeed = 50'001;
+  constexpr uint64_t kSeeds = 48;
+  uint64_t overlaps = 0;
+  uint64_t jobs = 0;
+  uint64_t served = 0;
+  for (uint64_t seed = kFirstSeed; seed < kFirstSeed + kSeeds; ++seed) {
+    fleet_schedule cut = MakeSchedule(seed, chosen);
+    cut.late_requests = kLateShare;
+    cut.entry_cuts = 4;
+    cut.faults = seed % 2 == 0 ? 0 : cut.faults;
+    const fleet_outcome outcome = PlayFleet(cut);
+    overlaps += outcome.overlapping_runs;
+    jobs += outcome.jobs;
+    served += outcome.served;
+  }
+  PrintFigure({.name = "overlapping_runs_cut_entries",
+               .value = static_cast<double>(overlaps),
+               .context = "first_seed=" + std::to_string(kFirstSeed) +
+                          " schedules=" + std::to_string(kSeeds) +
+                          " jobs=" + std::to_string(jobs) +
+                          " served=" + std::to_string(served)});
+}
+
 int Run(int count, char** arguments) {
   options chosen;
   if (!Parse(count, arguments, chosen)) {
@@ -364,6 +391,7 @@
   if (chosen.mutation == fleet_mutation::kNone) {
     PrintUnrecognised(chosen);
     PrintDense(chosen);
+    PrintCutEntries(chosen);
   }
   PrintFigure({.name = "fleet_task_crashes",
                .value = static_cast<double>(sum.crashes),
