--- a/packages/fleet/include/tarragondrift/fleet/engine_cmd.h
+++ b/packages/fleet/include/tarragondrift/fleet/engine_cmd.h
@@ -67,6 +67,9 @@
   std::string line_;
 };
 
+/// Returns names separated by commas, for a log line.
+std::string JoinNames(const std::vector<std::string>& names);
+
 void AddLogLine(engine& state, log_line& line, bool warning = false);
 
 }  // namespace tarragondrift::fleet
--- a/packages/fleet/src/claim_inquiry_cmd.cc
+++ b/packages/fleet/src/claim_inquiry_cmd.cc
@@ -307,14 +307,14 @@
 }
 
 void DescribeGrant(log_line& line, const claim_inquiry& inquiry) {
-  std::string granted_by;
+  std::vector<std::string> names;
   for (const uint64_t one : inquiry.granted_by) {
-    granted_by += (granted_by.empty() ? "" : ",") + std::to_string(one);
+    names.push_back(std::to_string(one));
   }
   if (inquiry.row == claim_row_state::kHeld) {
-    granted_by += granted_by.empty() ? "row" : ",row";
+    names.emplace_back("row");
   }
-  line.With("granted_by", granted_by.empty() ? "none" : granted_by)
+  line.With("granted_by", names.empty() ? "none" : JoinNames(names))
       .With("asked", static_cast<int64_t>(inquiry.told.size()))
       .With("list", static_cast<int64_t>(inquiry.list_version));
 }
--- a/packages/fleet/src/engine_cmd.cc
+++ b/packages/fleet/src/engine_cmd.cc
@@ -156,6 +156,17 @@
   return std::exchange(state.out, {});
 }
 
+std::string JoinNames(const std::vector<std::string>& names) {
+  std::string joined;
+  for (const std::string& name : names) {
+    if (!joined.empty()) {
+      joined.push_back(',');
+    }
+    joined.append(name);
+  }
+  return joined;
+}
+
 void AddLogLine(engine& state, log_line& line, bool warning) {
   state.out.emplace_back(log_action{.warning = warning, .line = line.Take()});
 }
--- a/packages/fleet/src/witness_list_cmd.cc
+++ b/packages/fleet/src/witness_list_cmd.cc
@@ -107,12 +107,12 @@
   state.next_contact_choice = now;
   state.next_claim_check = now;
   log_line line("witnesses_changed");
-  std::string names;
+  std::vector<std::string> names;
   for (const witness& one : list.witnesses) {
-    names += (names.empty() ? "" : ",") + one.name;
+    names.push_back(one.name);
   }
   line.With("version", static_cast<int64_t>(list.version))
-      .With("witnesses", names)
+      .With("witnesses", JoinNames(names))
       .With("former", static_cast<int64_t>(list.former.size()));
   AddLogLine(state, line);
   AnnounceChange(state, announcement::kToAllContacts);
