--- a/packages/daemon/src/fleet_process.cc
+++ b/packages/daemon/src/fleet_process.cc
@@ -131,9 +131,10 @@
   const std::string peers =
       settings_.ip + ':' + std::to_string(settings_.first_peer_port);
   auto link =
-      fleet_link::Start({.address = peers}, [this](fleet::envelope received) {
-        return OnPeerEnvelope(std::move(received));
-      });
+      fleet_link::Start({.address = peers, .proxy = options_.peer_proxy},
+                        [this](fleet::envelope received) {
+                          return OnPeerEnvelope(std::move(received));
+                        });
   if (!link) {
     return log_listen_failure("peers", peers);
   }
--- a/packages/daemon/src/fleet_process.h
+++ b/packages/daemon/src/fleet_process.h
@@ -38,6 +38,8 @@
 /// What the command line sets for such a process.
 struct fleet_process_options {
   uint16_t metrics_port = 0;
+  /// HTTP proxy to other entries, "IP:port"; empty for none.
+  std::string peer_proxy;
   /// Whether scarce capacity is shared among kinds of jobs.
   bool share_capacity = false;
   /// Mechanisms that are switched off.
--- a/packages/daemon/src/main.cc
+++ b/packages/daemon/src/main.cc
@@ -116,6 +116,7 @@
     case run_mode::kServeFleet:
       OpenQueuedLog();
       return ServeFleet({.metrics_port = parsed.value.metrics_port,
+                         .peer_proxy = parsed.value.peer_proxy,
                          .share_capacity = parsed.value.share_capacity,
                          .without = parsed.value.without});
     case run_mode::kServe:
--- a/packages/daemon/src/settings.cc
+++ b/packages/daemon/src/settings.cc
@@ -143,7 +143,7 @@
 constexpr milliseconds kMinPollInterval{100};
 constexpr milliseconds kMaxPollInterval{60'000};
 
-constexpr std::array<flag, 19> kFlags{{
+constexpr std::array<flag, 20> kFlags{{
     {"environment",
      [](settings& to, const std::string& text) {
        return SetEnvironment(to.environment, text);
@@ -231,6 +231,13 @@
        return SetNumber(to.metrics_port, text, 1, kMaxPort);
      },
      false, "with --fleet: port of the metrics page (9464)"},
+    {"peer-proxy",
+     [](settings& to, const std::string& text) {
+       return SetAddress(to.peer_proxy, text);
+     },
+     false,
+     "with --fleet: HTTP proxy to other entries, for tests of cut connections "
+     "(none)"},
     {"share-capacity",
      [](settings& to, const std::string& text) {
        return SetSwitch(to.share_capacity, text);
--- a/packages/daemon/src/settings.h
+++ b/packages/daemon/src/settings.h
@@ -42,6 +42,7 @@
   std::chrono::milliseconds poll_interval{1'000};
   /// Port of the metrics page of an entry that controls workers.
   uint16_t metrics_port = 9'464;
+  std::string peer_proxy;
   /// Whether such an entry shares scarce capacity among kinds of jobs.
   bool share_capacity = false;
   /// Mechanisms of such an entry that are switched off, for experiments.
--- a/packages/link/include/tarragondrift/link/fleet_link.h
+++ b/packages/link/include/tarragondrift/link/fleet_link.h
@@ -26,6 +26,9 @@
   /// Timeout of a delivery. A delivery that times out counts as lost, and its
   /// connection is not reused, since it may no longer carry data.
   std::chrono::milliseconds timeout{600};
+  /// HTTP proxy through which other entries are reached, "IP:port"; empty for
+  /// none.
+  std::string proxy;
 };
 
 /// Sends and receives the deliveries of one process.
--- a/packages/link/src/channel_arguments.h
+++ b/packages/link/src/channel_arguments.h
@@ -5,6 +5,7 @@
 #include <grpcpp/support/channel_arguments.h>
 
 #include <chrono>
+#include <string>
 
 namespace tarragondrift {
 
@@ -12,10 +13,12 @@
 inline constexpr std::chrono::milliseconds kMinReconnectBackoff{100};
 
 /// Returns the arguments of a channel to another entry. Automatic retries and
-/// HTTP proxies are disabled.
+/// the proxies of the environment are disabled.
 /// @param max_reconnect_backoff maximum backoff before reconnecting.
+/// @param proxy address of an HTTP proxy, "IP:port"; empty for none.
 grpc::ChannelArguments MakeChannelArguments(
-    std::chrono::milliseconds max_reconnect_backoff);
+    std::chrono::milliseconds max_reconnect_backoff,
+    const std::string& proxy = {});
 
 }  // namespace tarragondrift
 
--- a/packages/link/src/fleet_link.cc
+++ b/packages/link/src/fleet_link.cc
@@ -121,7 +121,7 @@
     std::shared_ptr<wire::FleetPeer::Stub>& stub = stubs_[address];
     if (stub == nullptr) {
       grpc::ChannelArguments arguments =
-          MakeChannelArguments(kMaxReconnectBackoff);
+          MakeChannelArguments(kMaxReconnectBackoff, options_.proxy);
       // Prevents reuse of the connection of an earlier channel to the address.
       arguments.SetInt(GRPC_ARG_USE_LOCAL_SUBCHANNEL_POOL, 1);
       stub = wire::FleetPeer::NewStub(grpc::CreateCustomChannel(
