fleet: a data centre that is cut off serves what its own witnesses know

Where an entry hears no witness of another data centre and the store has not answered for 200 ms, all witnesses of its own data centre have to grant a claim. Each refuses if it has another submission of the job as a witness, origin or relay, and abstains if it hears another data centre; entries that are no witnesses have one of their own data centre relay their claims, so that these know them. What is not recognised there is a submission of the same job at another data centre.

--- a/packages/fleet/include/tarragondrift/fleet/arbiter_list_cmd.h
+++ b/packages/fleet/include/tarragondrift/fleet/arbiter_list_cmd.h
@@ -20,8 +20,9 @@
 /// Whether a peer can be asked to relay a claim.
 bool MayArbitrate(const peer& one);
 
-/// Returns the entries that can relay claims of this one: the candidates that
-/// it hears of its own data centre, or if there are none, of others.
+/// Returns the entries that can relay claims of this one: the witnesses that it
+/// hears of its own data centre; if there are none, other candidates of it, or
+/// those of other data centres.
 /// @param excluded relays that were asked before.
 std::vector<controller_candidate> ListRelays(
     const engine& state, const std::vector<uint64_t>& excluded);
--- a/packages/fleet/include/tarragondrift/fleet/claim_base.h
+++ b/packages/fleet/include/tarragondrift/fleet/claim_base.h
@@ -48,6 +48,8 @@
   bool running = false;
   /// The sender does not hear all witnesses: the receiver asks them for it.
   bool relay = false;
+  /// The sender's data centre is cut off, and all of its witnesses are asked.
+  bool local = false;
 };
 
 inline job_attempt AttemptOf(const job_claim& claim) {
@@ -146,6 +148,8 @@
   std::vector<uint64_t> granted_by;
   std::vector<uint64_t> unavailable;
   claim_row_state row = claim_row_state::kNone;
+  /// When the row was requested.
+  instant row_asked;
   /// Version of the list of witnesses that it goes by.
   uint64_t list_version = 0;
   /// A witness waits for the end of an earlier submission.
--- a/packages/fleet/include/tarragondrift/fleet/engine_base.h
+++ b/packages/fleet/include/tarragondrift/fleet/engine_base.h
@@ -329,6 +329,11 @@
   uint64_t last_claim = 0;
   /// Rows of claims that this entry has requested.
   std::map<job_attempt, claim_row> claim_rows;
+  /// Since when the store has not answered requests for rows; unset while it
+  /// does.
+  std::optional<instant> rows_unanswered_since;
+  instant rows_unanswered_last;
+  instant next_store_probe;
   witness_table witnesses;
   /// By then the claims have ended that its peers knew of when this process met
   /// them.
--- a/packages/fleet/include/tarragondrift/fleet/fleet_options_base.h
+++ b/packages/fleet/include/tarragondrift/fleet/fleet_options_base.h
@@ -203,6 +203,9 @@
   milliseconds claim_wait{50};
   /// How long it waits for all of them before it refuses the job.
   milliseconds claim_limit{350};
+  /// How long a row may take before the store counts as out of reach, and how
+  /// often it is tried meanwhile.
+  milliseconds row_wait{200};
   /// How long an entry waits for one that relays its claim before it asks
   /// another one as well, and how many it asks.
   milliseconds relay_wait{150};
--- a/packages/fleet/include/tarragondrift/fleet/witness_list_cmd.h
+++ b/packages/fleet/include/tarragondrift/fleet/witness_list_cmd.h
@@ -37,6 +37,19 @@
 /// process that has just started does not know the claims of the one before it.
 bool DecidesClaims(const engine& state, instant now);
 
+/// Takes note of a request for a row that the store has not answered.
+void NoteRowUnanswered(engine& state, instant asked, instant now);
+
+/// Whether this entry's data centre is cut off, as far as this entry can tell:
+/// it hears no witness of another one, and the store does not answer.
+bool IsCutOff(const engine& state, instant now);
+
+/// Whether this entry hears any witness of another data centre.
+bool HearsOtherDataCentre(const engine& state);
+
+/// Returns the names of the witnesses of this entry's data centre.
+std::vector<std::string> ListLocalWitnesses(const engine& state);
+
 /// Returns the incarnation of a witness that can be asked, 0 if it cannot be.
 uint64_t FindWitness(const engine& state, const std::string& name);
 
--- a/packages/fleet/src/arbiter_cmd.cc
+++ b/packages/fleet/src/arbiter_cmd.cc
@@ -38,6 +38,29 @@
                      });
 }
 
+/// Whether this entry has another submission of a job, as its origin or its
+/// relay.
+bool KnowsOtherSubmission(const engine& state, const job_claim& claim) {
+  const job_attempt attempt = AttemptOf(claim);
+  const bool is_own = attempt.origin == state.self.incarnation;
+  const auto running = state.job_by_id.find(claim.job);
+  const bool runs_here =
+      running != state.job_by_id.end() &&
+      !(is_own &&
+        state.jobs.at(running->second).claim_number == attempt.request);
+  return runs_here ||
+         std::any_of(state.claiming_jobs.begin(), state.claiming_jobs.end(),
+                     [&](const auto& entry) {
+                       return entry.second.inquiry.claim.job == claim.job &&
+                              !(is_own && entry.first == attempt.request);
+                     }) ||
+         std::any_of(state.relayed_claims.begin(), state.relayed_claims.end(),
+                     [&](const auto& entry) {
+                       return entry.second.inquiry.claim.job == claim.job &&
+                              entry.first != attempt;
+                     });
+}
+
 /// Whether a worker of this entry is known to obey it.
 bool IsHeld(const worker& one) {
   return one.phase == control_phase::kHeld ||
@@ -237,10 +260,17 @@
 
 claim_outcome DecideClaim(engine& state, uint64_t asker, const job_claim& claim,
                           instant now) {
-  if (!claim.running && !DecidesClaims(state, now)) {
+  const bool cannot_tell = !DecidesClaims(state, now) ||
+                           (claim.local && HearsOtherDataCentre(state));
+  if (!claim.running && cannot_tell) {
     ++state.counts.claims_abstained;
     return claim_outcome::kAbstained;
   }
+  if (claim.local && !claim.running && KnowsOtherSubmission(state, claim)) {
+    LogClaim(state, "claim_refused", claim.job, AttemptOf(claim), "known",
+             claim.timeout, milliseconds{0});
+    return claim_outcome::kRefused;
+  }
   if (const auto decided = FindDecision(state, asker, claim, now)) {
     return *decided;
   }
--- a/packages/fleet/src/arbiter_list_cmd.cc
+++ b/packages/fleet/src/arbiter_list_cmd.cc
@@ -3,6 +3,7 @@
 #include <algorithm>
 
 #include "tarragondrift/fleet/contact_cmd.h"
+#include "tarragondrift/fleet/witness_list_cmd.h"
 
 namespace tarragondrift::fleet {
 namespace {
@@ -43,6 +44,7 @@
 
 std::vector<controller_candidate> ListRelays(
     const engine& state, const std::vector<uint64_t>& excluded) {
+  std::vector<controller_candidate> witnesses;
   std::vector<controller_candidate> near;
   std::vector<controller_candidate> far;
   for (const auto& [incarnation, one] : state.peers) {
@@ -51,14 +53,22 @@
     if (MayArbitrate(one) && !one.leaving && !is_excluded) {
       const bool is_near = one.identity.data_centre == state.self.data_centre;
       (is_near ? near : far).push_back(MakeCandidate(state, one.identity));
+      if (is_near && IsListedWitness(state, one.identity.name)) {
+        witnesses.push_back(near.back());
+      }
     }
   }
+  if (!witnesses.empty()) {
+    return witnesses;
+  }
   return near.empty() ? far : near;
 }
 
 bool ClaimsByRelay(const engine& state, instant now) {
-  return !state.candidate ||
-         (!IsSettledCandidate(state, now) && !ListRelays(state, {}).empty());
+  // The witnesses of a data centre that is cut off have to know its claims.
+  return !state.candidate || ((!IsSettledCandidate(state, now) ||
+                               !IsListedWitness(state, state.self.name)) &&
+                              !ListRelays(state, {}).empty());
 }
 
 uint64_t ChooseRelay(const engine& state, const std::string& job,
--- a/packages/fleet/src/claim_cmd.cc
+++ b/packages/fleet/src/claim_cmd.cc
@@ -402,6 +402,11 @@
   if (row != state.claim_rows.end()) {
     row->second.settled = true;
   }
+  if (outcome != claim_row_outcome::kFailed) {
+    state.rows_unanswered_since.reset();
+  } else {
+    NoteRowUnanswered(state, now, now);
+  }
   if (outcome != claim_row_outcome::kHeld) {
     LogClaim(state, "claim_row_missed", job, attempt,
              outcome == claim_row_outcome::kTaken ? "taken" : "failed",
--- a/packages/fleet/src/claim_inquiry_cmd.cc
+++ b/packages/fleet/src/claim_inquiry_cmd.cc
@@ -41,36 +41,45 @@
       }));
 }
 
-size_t NeededGrants(const claim_panel& panel) {
-  return std::min(kNeededGrants, panel.size());
+/// In a data centre that is cut off all of its witnesses have to grant a claim.
+size_t NeededGrants(const claim_inquiry& inquiry, const claim_panel& panel) {
+  return inquiry.claim.local ? panel.size()
+                             : std::min(kNeededGrants, panel.size());
 }
 
 /// Whether the row counts beside the witnesses of a panel. The only witness of
 /// a list of one decides alone.
-bool RowCounts(const claim_panel& panel) {
-  return panel.size() >= kNeededGrants;
+bool RowCounts(const claim_inquiry& inquiry, const claim_panel& panel) {
+  return !inquiry.claim.local && panel.size() >= kNeededGrants;
 }
 
 bool IsProven(const claim_inquiry& inquiry) {
-  const bool has_row = inquiry.row == claim_row_state::kHeld;
+  const auto row_grants = [&inquiry](const claim_panel& panel) -> size_t {
+    return inquiry.row == claim_row_state::kHeld && RowCounts(inquiry, panel)
+               ? 1
+               : 0;
+  };
   return !inquiry.panels.empty() &&
          std::all_of(inquiry.panels.begin(), inquiry.panels.end(),
                      [&](const claim_panel& panel) {
-                       return CountGrants(inquiry, panel) +
-                                  (has_row && RowCounts(panel) ? 1 : 0) >=
-                              NeededGrants(panel);
+                       return CountGrants(inquiry, panel) + row_grants(panel) >=
+                              NeededGrants(inquiry, panel);
                      });
 }
 
 bool MayBeProven(const claim_inquiry& inquiry) {
-  const bool may_have_row = inquiry.row != claim_row_state::kFailed;
+  const auto row_grants = [&inquiry](const claim_panel& panel) -> size_t {
+    return inquiry.row != claim_row_state::kFailed && RowCounts(inquiry, panel)
+               ? 1
+               : 0;
+  };
   return !inquiry.panels.empty() &&
          std::all_of(inquiry.panels.begin(), inquiry.panels.end(),
                      [&](const claim_panel& panel) {
                        return CountGrants(inquiry, panel) +
                                   CountAwaited(inquiry, panel) +
-                                  (may_have_row && RowCounts(panel) ? 1 : 0) >=
-                              NeededGrants(panel);
+                                  row_grants(panel) >=
+                              NeededGrants(inquiry, panel);
                      });
 }
 
@@ -79,17 +88,23 @@
   return std::any_of(
       inquiry.panels.begin(), inquiry.panels.end(),
       [&inquiry, overdue](const claim_panel& panel) {
-        return RowCounts(panel) &&
+        return RowCounts(inquiry, panel) &&
                CountGrants(inquiry, panel) +
                        (overdue ? 0 : CountAwaited(inquiry, panel)) <
-                   NeededGrants(panel);
+                   NeededGrants(inquiry, panel);
       });
 }
 
 std::vector<claim_panel> FindPanels(const engine& state,
-                                    const std::string& job) {
+                                    const job_claim& claim) {
   std::vector<claim_panel> panels;
-  for (const std::vector<std::string>& names : ChoosePanels(state, job)) {
+  std::vector<std::vector<std::string>> lists;
+  if (claim.local) {
+    lists.push_back(ListLocalWitnesses(state));
+  } else {
+    lists = ChoosePanels(state, claim.job);
+  }
+  for (const std::vector<std::string>& names : lists) {
     claim_panel& panel = panels.emplace_back();
     for (const std::string& name : names) {
       panel.push_back(FindWitness(state, name));
@@ -128,6 +143,7 @@
 
 void RequestRow(engine& state, claim_inquiry& inquiry, instant now) {
   inquiry.row = claim_row_state::kAsked;
+  inquiry.row_asked = now;
   ++state.counts.claim_rows;
   const job_claim claim = MakeClaim(inquiry, now);
   state.claim_rows[AttemptOf(claim)] = {.job = claim.job};
@@ -136,6 +152,23 @@
                                          .valid_for = claim.valid_for});
 }
 
+/// While the store counts as out of reach, requests a row now and then to see
+/// whether it answers again.
+void ProbeStore(engine& state, claim_inquiry& inquiry, instant now) {
+  if (now >= state.next_store_probe && inquiry.row == claim_row_state::kNone) {
+    state.next_store_probe = now + state.options.row_wait;
+    RequestRow(state, inquiry, now);
+  }
+}
+
+/// Takes note of a row that the store does not answer.
+void NoteRowWait(engine& state, const claim_inquiry& inquiry, instant now) {
+  if (inquiry.row == claim_row_state::kAsked &&
+      now - inquiry.row_asked >= state.options.row_wait) {
+    NoteRowUnanswered(state, inquiry.row_asked, now);
+  }
+}
+
 /// Notes the answer of one witness.
 /// @return kRefused if the claim is refused with it.
 claim_outcome NoteAnswer(claim_inquiry& inquiry, uint64_t from,
@@ -193,6 +226,10 @@
   if (IsProven(inquiry)) {
     return claim_outcome::kGranted;
   }
+  NoteRowWait(state, inquiry, now);
+  if (!inquiry.claim.local && IsCutOff(state, now)) {
+    return BeginInquiry(state, inquiry, now);
+  }
   if (!MayBeProven(inquiry)) {
     return claim_outcome::kUnproven;
   }
@@ -231,7 +268,13 @@
   if (!KnowsWitnesses(state, now)) {
     return claim_outcome::kUnproven;
   }
-  inquiry.panels = FindPanels(state, inquiry.claim.job);
+  inquiry.claim.local = IsCutOff(state, now);
+  inquiry.granted_by.clear();
+  inquiry.unavailable.clear();
+  inquiry.panels = FindPanels(state, inquiry.claim);
+  if (inquiry.claim.local) {
+    ProbeStore(state, inquiry, now);
+  }
   if (!MayBeProven(inquiry)) {
     // A process that was paused hears its peers again in a moment.
     if (IsListening(state, now)) {
@@ -245,7 +288,7 @@
   const std::vector<uint64_t> witnesses = WitnessesOf(inquiry.panels);
   const uint64_t self = state.self.incarnation;
   if (Contains(witnesses, self)) {
-    inquiry.told.push_back(self);
+    AddOnce(inquiry.told, self);
     const claim_outcome own = DecideClaim(state, self, claim, now);
     if (NoteAnswer(inquiry, self, own, now) == claim_outcome::kRefused) {
       return claim_outcome::kRefused;
@@ -295,9 +338,11 @@
 void TellRunning(engine& state, claim_inquiry& inquiry, instant now) {
   job_claim claim = MakeClaim(inquiry, now);
   claim.running = true;
+  // Once the data centre is reached again, the others have to know.
+  claim.local = false;
   const std::vector<uint64_t> knowing =
       claim.relay ? std::vector{ChooseRelay(state, claim.job, {})}
-                  : WitnessesOf(FindPanels(state, claim.job));
+                  : WitnessesOf(FindPanels(state, claim));
   for (const uint64_t one : knowing) {
     if (one != 0 && !Contains(inquiry.told, one)) {
       inquiry.told.push_back(one);
--- a/packages/fleet/src/witness_list_cmd.cc
+++ b/packages/fleet/src/witness_list_cmd.cc
@@ -169,6 +169,43 @@
                          state.unknown_claims_end);
 }
 
+void NoteRowUnanswered(engine& state, instant asked, instant now) {
+  state.rows_unanswered_since =
+      std::min(state.rows_unanswered_since.value_or(asked), asked);
+  state.rows_unanswered_last = now;
+}
+
+bool IsCutOff(const engine& state, instant now) {
+  // Requests time out after a second.
+  constexpr milliseconds kMaxEvidenceAge{1'500};
+  const std::vector<witness>& list = state.witnesses.list.witnesses;
+  return state.rows_unanswered_since &&
+         now - *state.rows_unanswered_since >= state.options.row_wait &&
+         now - state.rows_unanswered_last < kMaxEvidenceAge &&
+         !HearsOtherDataCentre(state) &&
+         std::any_of(list.begin(), list.end(), [&state](const witness& one) {
+           return one.data_centre != state.self.data_centre;
+         });
+}
+
+bool HearsOtherDataCentre(const engine& state) {
+  const std::vector<witness>& list = state.witnesses.list.witnesses;
+  return std::any_of(list.begin(), list.end(), [&state](const witness& one) {
+    return one.data_centre != state.self.data_centre &&
+           FindWitness(state, one.name) != 0;
+  });
+}
+
+std::vector<std::string> ListLocalWitnesses(const engine& state) {
+  std::vector<std::string> names;
+  for (const witness& one : state.witnesses.list.witnesses) {
+    if (one.data_centre == state.self.data_centre) {
+      names.push_back(one.name);
+    }
+  }
+  return names;
+}
+
 uint64_t FindWitness(const engine& state, const std::string& name) {
   if (name == state.self.name) {
     return state.self.incarnation;
--- a/packages/link/src/fleet_codec.cc
+++ b/packages/link/src/fleet_codec.cc
@@ -282,6 +282,7 @@
     claim.set_repeated(from.repeated);
     claim.set_running(from.running);
     claim.set_relay(from.relay);
+    claim.set_local(from.local);
   }
   void operator()(const fleet::claim_verdict& from) const {
     to.mutable_verdict()->set_job(from.job);
@@ -377,7 +378,8 @@
           .valid_for = milliseconds(from.claim().valid_for_ms()),
           .repeated = from.claim().repeated(),
           .running = from.claim().running(),
-          .relay = from.claim().relay()};
+          .relay = from.claim().relay(),
+          .local = from.claim().local()};
     case wire::FleetMessage::kVerdict:
       return fleet::claim_verdict{
           .job = from.verdict().job(),
