fleet: claims, what a review of the witnesses found

- A relay that gave up released the claim of a submission that another relay had had granted, and removed its row.
Only the origin ends a relayed claim now, and a claim that is sent again does not begin anew.
- A data centre without witnesses on the list granted everything when cut off.
- Old or false evidence (one row not answered long ago, an answered read, a pause of the process) made a data centre count as cut off; it ends with each answer of the store, after 1.5 s, and after a pause peers have to be waited for.
- Grants from before the cut counted as those of the data centre's own witnesses; verdicts tell which they are.
A row that turns out to be another claim's ends a job that was started in such a data centre.
- When an origin was restarted, its records ended before its tasks did.
- A restarted witness decided after 3 s though it had heard nobody who could know of longer claims; a witness that abstained was never told of the submission.

--- a/packages/daemon/src/claim_rows.cc
+++ b/packages/daemon/src/claim_rows.cc
@@ -1,5 +1,6 @@
 #include "claim_rows.h"
 
+#include <cstdlib>
 #include <nlohmann/json.hpp>
 #include <utility>
 
@@ -17,8 +18,7 @@
 /// The store carries out the transactions of one part one after another, 200 a
 /// second, so that rows are spread over several.
 constexpr uint64_t kParts = 16;
-/// Pause between the visits of a sweep, each of one part. All parts take longer
-/// than a claim lasts.
+/// Pause between the visits of a sweep, each of one part.
 constexpr std::chrono::milliseconds kSweepInterval{2'500};
 /// Rows removed at one visit.
 constexpr size_t kMaxSwept = 50;
@@ -35,6 +35,20 @@
   return std::to_string(attempt.origin) + '.' + std::to_string(attempt.request);
 }
 
+/// Whether the value of a row, "ATTEMPT MILLISECONDS", is that of a claim.
+bool HasAttempt(const std::string& value, const std::string& attempt) {
+  return value.substr(0, value.find(' ')) == attempt;
+}
+
+/// Returns how long a row is of use after it was made.
+std::chrono::milliseconds ValidFor(const std::string& value) {
+  const size_t space = value.find(' ');
+  return std::chrono::milliseconds(
+      space == std::string::npos
+          ? 0
+          : std::strtol(value.c_str() + space, nullptr, 10));
+}
+
 json FormatWitnesses(const std::vector<fleet::witness>& witnesses) {
   json rows = json::array();
   for (const fleet::witness& one : witnesses) {
@@ -97,7 +111,8 @@
   rows_->Write({.table = kClaimTable,
                 .part = PartOf(write.job),
                 .key = write.job,
-                .value = FormatAttempt(write.attempt),
+                .value = FormatAttempt(write.attempt) + ' ' +
+                         std::to_string(write.valid_for.count()),
                 .expected = 0},
                [this, write, done = std::move(done)](row_outcome outcome) {
                  run_([this, write, done, outcome](instant now) {
@@ -121,11 +136,12 @@
               [this, own = FormatAttempt(write.attempt),
                done = std::move(done)](const fleet::versioned_row& row) {
                 run_([row, own, done](instant now) {
-                  if (row.outcome != row_outcome::kOk || row.version == 0) {
+                  if (row.outcome != row_outcome::kOk) {
                     done(claim_row_outcome::kFailed, now);
                   } else {
-                    done(row.value == own ? claim_row_outcome::kHeld
-                                          : claim_row_outcome::kTaken,
+                    // A row that is gone by now was another claim's.
+                    done(HasAttempt(row.value, own) ? claim_row_outcome::kHeld
+                                                    : claim_row_outcome::kTaken,
                          now);
                   }
                 });
@@ -137,7 +153,7 @@
               [this, removal](const fleet::versioned_row& row) {
                 run_([this, removal, row](instant) {
                   if (row.outcome == row_outcome::kOk && row.version != 0 &&
-                      row.value == FormatAttempt(removal.attempt)) {
+                      HasAttempt(row.value, FormatAttempt(removal.attempt))) {
                     rows_->Write({.table = kClaimTable,
                                   .part = PartOf(removal.job),
                                   .key = removal.job,
@@ -159,23 +175,27 @@
   next_part_ = (next_part_ + 1) % kParts;
   rows_->List({kClaimTable, part}, "",
               [this, part](const fleet::row_batch& batch) {
-                run_([this, part, batch](instant) { OnSwept(part, batch); });
+                run_([this, part, batch](instant answered) {
+                  OnSwept(part, batch, answered);
+                });
               });
 }
 
-void claim_rows::OnSwept(const std::string& part,
-                         const fleet::row_batch& batch) {
+void claim_rows::OnSwept(const std::string& part, const fleet::row_batch& batch,
+                         instant now) {
   sweeping_ = false;
   if (batch.outcome != row_outcome::kOk) {
     return;
   }
-  std::map<std::string, uint64_t> seen;
+  std::map<std::string, seen_row> seen;
   size_t removed = 0;
   for (const fleet::row_change& row : batch.rows) {
-    seen[row.key] = row.version;
     const auto& before = seen_[part];
     const auto at = before.find(row.key);
-    if (at != before.end() && at->second == row.version &&
+    const bool is_known =
+        at != before.end() && at->second.version == row.version;
+    seen[row.key] = is_known ? at->second : seen_row{row.version, now};
+    if (is_known && now - at->second.since > ValidFor(row.value) &&
         removed < kMaxSwept) {
       ++removed;
       rows_->Write({.table = kClaimTable,
--- a/packages/daemon/src/claim_rows.h
+++ b/packages/daemon/src/claim_rows.h
@@ -50,21 +50,28 @@
   void Remove(const fleet::claim_row_removal& removal);
 
   /// Removes rows that nobody else does, as the entries that made them are
-  /// gone: those that were there at two visits in a row. One entry at a time
-  /// calls this.
+  /// gone: those that have been seen for longer than they are valid. One entry
+  /// at a time calls this.
   void Sweep(instant now);
 
  private:
   void Check(const fleet::claim_row_write& write, outcome_handler done);
-  void OnSwept(const std::string& part, const fleet::row_batch& batch);
+  void OnSwept(const std::string& part, const fleet::row_batch& batch,
+               instant now);
+
+  /// A row, and since when it has been seen.
+  struct seen_row {
+    uint64_t version = 0;
+    instant since;
+  };
 
   const std::unique_ptr<fleet::row_port>& rows_;
   run_on_owner run_;
   instant next_sweep_;
   size_t next_part_ = 0;
   bool sweeping_ = false;
-  /// Versions of the rows seen at the last visit, by part and key.
-  std::map<std::string, std::map<std::string, uint64_t>> seen_;
+  /// The rows seen at the last visit, by part and key.
+  std::map<std::string, std::map<std::string, seen_row>> seen_;
 };
 
 }  // namespace tarragondrift
--- a/packages/daemon/src/fleet_process.cc
+++ b/packages/daemon/src/fleet_process.cc
@@ -299,7 +299,9 @@
   }
   if (auto list = ParseWitnessList(row.value, row.version)) {
     witness_list_ = std::move(*list);
+    witness_list_readable_ = true;
   } else {
+    witness_list_readable_ = false;
     log_event(log_level::kWarning, "witness_list_unreadable")
         .With("version", static_cast<int64_t>(row.version));
   }
@@ -307,7 +309,9 @@
 
 void fleet_process::FollowWitnessList(instant now) {
   const std::optional<instant> read = witness_follower_->LastSuccess();
-  if (witness_follower_->HasListed() && read != witness_list_read_) {
+  // A list that cannot be read is not the same as none.
+  if (witness_follower_->HasListed() && witness_list_readable_ &&
+      read != witness_list_read_) {
     witness_list_read_ = read;
     fleet::ApplyWitnessList(engine_, witness_list_, *read);
   }
--- a/packages/daemon/src/fleet_process.h
+++ b/packages/daemon/src/fleet_process.h
@@ -150,6 +150,7 @@
   /// The list of witnesses as the store last told it, and when.
   fleet::witness_list witness_list_;
   std::optional<instant> witness_list_read_;
+  bool witness_list_readable_ = true;
   std::unique_ptr<claim_rows> claim_rows_;
 
   // Last, so that their threads end before the members that they call.
--- a/packages/daemon/test/claim_rows_test.cc
+++ b/packages/daemon/test/claim_rows_test.cc
@@ -76,7 +76,7 @@
   claim_row_outcome Make(uint64_t origin) {
     std::optional<claim_row_outcome> seen;
     claims.Make(
-        {.job = "job", .attempt = AttemptOf(origin)},
+        {.job = "job", .attempt = AttemptOf(origin), .valid_for = kValidFor},
         [&seen](claim_row_outcome outcome, instant) { seen = outcome; });
     REQUIRE(seen);
     return *seen;
@@ -90,6 +90,7 @@
     return {.origin = origin, .request = 7};
   }
 
+  static constexpr std::chrono::milliseconds kValidFor{60'000};
   row_store* store = new row_store;
   std::unique_ptr<fleet::row_port> rows{store};
   instant now{10s};
@@ -129,6 +130,12 @@
     claims.Sweep(now);
     now += 3s;
   }
+  // It has been seen for 48 s.
+  CHECK(store->rows.size() == 1);
+  for (int visit = 0; visit < 16; ++visit) {
+    claims.Sweep(now);
+    now += 3s;
+  }
   CHECK(store->rows.empty());
 }
 
--- a/packages/fleet/include/tarragondrift/fleet/arbiter_cmd.h
+++ b/packages/fleet/include/tarragondrift/fleet/arbiter_cmd.h
@@ -50,7 +50,8 @@
 
 /// Sends a verdict to the entry that asked for it.
 void SendVerdict(engine& state, uint64_t asker, const std::string& job,
-                 const job_attempt& attempt, claim_outcome outcome);
+                 const job_attempt& attempt, claim_outcome outcome,
+                 bool local = false);
 
 /// Logs a decision on a claim.
 void LogClaim(engine& state, const char* event, const std::string& job,
--- a/packages/fleet/include/tarragondrift/fleet/claim_base.h
+++ b/packages/fleet/include/tarragondrift/fleet/claim_base.h
@@ -72,6 +72,8 @@
   std::string job;
   job_attempt attempt;
   claim_outcome outcome = claim_outcome::kRefused;
+  /// It answers a claim with `local` set.
+  bool local = false;
 };
 
 /// A submission of a job has ended.
@@ -163,6 +165,8 @@
   std::string job;
   /// Its request was answered.
   bool settled = false;
+  /// The claim was granted by the witnesses of a data centre that is cut off.
+  bool local = false;
   /// When it is to be removed; unset while the claim is active.
   std::optional<instant> remove_at;
 };
@@ -170,8 +174,10 @@
 /// A claim that this entry asks for on behalf of its origin.
 struct relayed_claim {
   claim_inquiry inquiry;
-  /// Its origin has the verdict. What the witnesses know is kept up to date.
+  /// Its origin has the verdict. What the witnesses know is kept up to date
+  /// until the origin ends the claim.
   bool answered = false;
+  claim_outcome verdict = claim_outcome::kPending;
 };
 
 /// A repeated submission that waits at its witness for the controllers.
@@ -179,6 +185,8 @@
   /// The entry that gets the verdict.
   uint64_t asker = 0;
   job_attempt attempt;
+  /// The claim has `local` set.
+  bool local = false;
   std::set<uint64_t> awaited;
   instant began;
 };
--- a/packages/fleet/include/tarragondrift/fleet/claim_cmd.h
+++ b/packages/fleet/include/tarragondrift/fleet/claim_cmd.h
@@ -34,9 +34,7 @@
                    instant now);
 
 /// Ends the claims of an entry that has been restarted, as its tasks end.
-/// @param known_alive the latest time at which it is known to have been alive.
-void EndClaimsOf(engine& state, uint64_t origin, instant known_alive,
-                 instant now);
+void EndClaimsOf(engine& state, uint64_t origin, instant now);
 
 /// Returns the time after which the claims have ended that this entry knows of.
 std::chrono::milliseconds ClaimsEndIn(const engine& state, instant now);
--- a/packages/fleet/include/tarragondrift/fleet/claim_inquiry_cmd.h
+++ b/packages/fleet/include/tarragondrift/fleet/claim_inquiry_cmd.h
@@ -22,7 +22,7 @@
 
 /// Takes the answer of a witness or a relay.
 claim_outcome TakeVerdict(engine& state, claim_inquiry& inquiry, uint64_t from,
-                          claim_outcome verdict, instant now);
+                          const claim_verdict& verdict, instant now);
 
 /// Takes the outcome of the claim's row.
 claim_outcome TakeRow(engine& state, claim_inquiry& inquiry,
--- a/packages/fleet/include/tarragondrift/fleet/peer_base.h
+++ b/packages/fleet/include/tarragondrift/fleet/peer_base.h
@@ -164,6 +164,9 @@
   /// When it arrived, on the receiver's clock; not transmitted.
   std::optional<instant> arrived;
   load_table load;
+  /// With this envelope the receiver has been told of all claims that the
+  /// sender knows and the receiver is a witness of.
+  bool claims_told = false;
   std::vector<peer_message> messages;
 };
 
@@ -214,6 +217,8 @@
   bool announced_candidate = false;
   /// It decides claims on jobs.
   bool decides_claims = false;
+  /// It has told all claims that it knows and this entry is a witness of.
+  bool claims_told = false;
   /// Its heartbeat interval, as announced; 0 if unknown.
   std::chrono::milliseconds heartbeat_interval{0};
   /// A heartbeat is due before the interval has passed.
--- a/packages/fleet/include/tarragondrift/fleet/witness_list_cmd.h
+++ b/packages/fleet/include/tarragondrift/fleet/witness_list_cmd.h
@@ -44,8 +44,9 @@
 /// it hears no witness of another one, and the store does not answer.
 bool IsCutOff(const engine& state, instant now);
 
-/// Whether this entry hears any witness of another data centre.
-bool HearsOtherDataCentre(const engine& state);
+/// Whether this entry has heard no witness of another data centre for as long
+/// as it takes them to count as silent, and has not been paused meanwhile.
+bool HearsOnlyOwnDataCentre(const engine& state, instant now);
 
 /// Returns the names of the witnesses of this entry's data centre.
 std::vector<std::string> ListLocalWitnesses(const engine& state);
--- a/packages/fleet/src/arbiter_cmd.cc
+++ b/packages/fleet/src/arbiter_cmd.cc
@@ -149,7 +149,7 @@
       record->second.settled = now + state.options.orphan_limit;
     }
   }
-  SendVerdict(state, round.asker, job, round.attempt, outcome);
+  SendVerdict(state, round.asker, job, round.attempt, outcome, round.local);
 }
 
 /// Tells all controllers that can be reached of a submission.
@@ -170,8 +170,9 @@
 }
 
 /// Tells all controllers of a repeated submission, and waits for them.
-void BeginRound(engine& state, uint64_t asker, const std::string& job,
+void BeginRound(engine& state, uint64_t asker, const job_claim& claim,
                 instant now) {
+  const std::string& job = claim.job;
   ++state.counts.claim_rounds;
   const auto earlier = state.claim_rounds.find(job);
   if (earlier != state.claim_rounds.end()) {
@@ -179,6 +180,7 @@
   }
   state.claim_rounds[job] = {.asker = asker,
                              .attempt = state.job_claims.at(job).attempt,
+                             .local = claim.local,
                              .awaited = SendNotices(state, job, now),
                              .began = now};
 }
@@ -226,6 +228,7 @@
   const auto round = state.claim_rounds.find(claim.job);
   if (round != state.claim_rounds.end() && round->second.attempt == attempt) {
     round->second.asker = asker;
+    round->second.local = claim.local;
     return claim_outcome::kPending;
   }
   const auto at = state.job_claims.find(claim.job);
@@ -261,7 +264,7 @@
 claim_outcome DecideClaim(engine& state, uint64_t asker, const job_claim& claim,
                           instant now) {
   const bool cannot_tell = !DecidesClaims(state, now) ||
-                           (claim.local && HearsOtherDataCentre(state));
+                           (claim.local && !HearsOnlyOwnDataCentre(state, now));
   if (!claim.running && cannot_tell) {
     ++state.counts.claims_abstained;
     return claim_outcome::kAbstained;
@@ -304,7 +307,7 @@
                                  .until = now + claim.valid_for,
                                  .noticed = noticed};
   if (needs_round) {
-    BeginRound(state, asker, claim.job, now);
+    BeginRound(state, asker, claim, now);
     return claim_outcome::kPending;
   }
   if (replaces) {
@@ -398,9 +401,12 @@
 }
 
 void SendVerdict(engine& state, uint64_t asker, const std::string& job,
-                 const job_attempt& attempt, claim_outcome outcome) {
-  SendTo(state, asker,
-         claim_verdict{.job = job, .attempt = attempt, .outcome = outcome});
+                 const job_attempt& attempt, claim_outcome outcome,
+                 bool local) {
+  SendTo(
+      state, asker,
+      claim_verdict{
+          .job = job, .attempt = attempt, .outcome = outcome, .local = local});
 }
 
 void LogClaim(engine& state, const char* event, const std::string& job,
--- a/packages/fleet/src/claim_cmd.cc
+++ b/packages/fleet/src/claim_cmd.cc
@@ -56,14 +56,15 @@
     const auto at = state.claiming_jobs.find(number);
     claiming_job granted = std::move(at->second);
     state.claiming_jobs.erase(at);
+    TellRunning(state, granted.inquiry, now);
     StartClaimedJob(state, std::move(granted), now);
   } else if (outcome != claim_outcome::kPending) {
     RefuseClaiming(state, number, outcome, cause, now);
   }
 }
 
-/// Goes on with a relayed claim. After a refusal its witnesses are told that it
-/// has ended.
+/// Goes on with a relayed claim. Only its origin ends it, as another relay may
+/// have had it granted.
 void ContinueRelayed(engine& state, const job_attempt& key,
                      claim_outcome outcome, instant now) {
   const auto at = state.relayed_claims.find(key);
@@ -76,40 +77,42 @@
     return;
   }
   SendVerdict(state, key.origin, job, key, outcome);
+  at->second.answered = true;
+  at->second.verdict = outcome;
   if (outcome == claim_outcome::kGranted) {
-    at->second.answered = true;
+    TellRunning(state, inquiry, now);
     log_line line("claim_relayed");
     line.With("job", job)
         .With("origin", static_cast<int64_t>(key.origin))
         .With("request", static_cast<int64_t>(key.request));
     DescribeGrant(line, inquiry);
     AddLogLine(state, line);
-    return;
   }
-  const std::vector<uint64_t> told = std::move(inquiry.told);
-  state.relayed_claims.erase(at);
-  ReleaseClaims(state, told,
-                {.job = job, .origin = key.origin, .request = key.request},
-                release_sending::kAtOnce, now);
 }
 
 /// Asks the witnesses of a claim for its origin, which does not hear them.
 void RelayClaim(engine& state, job_claim claim, instant now) {
   const job_attempt key = AttemptOf(claim);
-  relayed_claim& relayed = state.relayed_claims[key];
+  const auto [at, added] = state.relayed_claims.try_emplace(key);
+  relayed_claim& relayed = at->second;
   claim.relay = false;
-  std::vector<uint64_t> told = std::move(relayed.inquiry.told);
-  const claim_row_state row = relayed.inquiry.row;
-  relayed.inquiry = {.claim = claim,
-                     .until = now + claim.valid_for,
-                     .told = std::move(told),
-                     .row = row,
-                     .asked = now};
-  relayed.answered = claim.running;
+  if (added) {
+    relayed.inquiry = {
+        .claim = claim, .until = now + claim.valid_for, .asked = now};
+  }
   if (claim.running) {
+    relayed.answered = true;
+    relayed.verdict = claim_outcome::kGranted;
     TellRunning(state, relayed.inquiry, now);
     return;
   }
+  if (!added) {
+    // It was sent again, as its envelope may have been lost.
+    if (relayed.answered) {
+      SendVerdict(state, key.origin, claim.job, key, relayed.verdict);
+    }
+    return;
+  }
   ContinueRelayed(state, key, BeginInquiry(state, relayed.inquiry, now), now);
 }
 
@@ -208,8 +211,10 @@
   for (auto& [key, relayed] : state.relayed_claims) {
     job_claim claim = MakeClaim(relayed.inquiry, now);
     claim.running = relayed.answered;
-    TellAgain(state, lost, claim, relayed.inquiry.told);
-    if (relayed.answered) {
+    if (!relayed.answered || relayed.verdict == claim_outcome::kGranted) {
+      TellAgain(state, lost, claim, relayed.inquiry.told);
+    }
+    if (relayed.verdict == claim_outcome::kGranted) {
       TellRunning(state, relayed.inquiry, now);
     }
   }
@@ -227,10 +232,9 @@
     return;
   }
   if (!at->second.answered) {
-    ContinueRelayed(
-        state, verdict.attempt,
-        TakeVerdict(state, at->second.inquiry, from, verdict.outcome, now),
-        now);
+    ContinueRelayed(state, verdict.attempt,
+                    TakeVerdict(state, at->second.inquiry, from, verdict, now),
+                    now);
   } else if (verdict.outcome == claim_outcome::kRefused) {
     // The origin ends the job, and releases the claim.
     SendVerdict(state, verdict.attempt.origin, verdict.job, verdict.attempt,
@@ -304,16 +308,14 @@
   }
 }
 
-void EndClaimsOf(engine& state, uint64_t origin, instant known_alive,
-                 instant now) {
-  const instant settled = known_alive + state.options.orphan_limit;
+void EndClaimsOf(engine& state, uint64_t origin, instant now) {
+  // It may have lived until a moment ago, in touch with its controllers only.
+  const instant settled = now + state.options.orphan_limit;
   for (auto& [job, record] : state.job_claims) {
     if (record.attempt.origin == origin) {
       record.until = std::min(record.until, settled);
     }
   }
-  const milliseconds settles_in =
-      std::max(milliseconds{0}, std::chrono::ceil<milliseconds>(settled - now));
   const auto [first, last] =
       std::pair{state.relayed_claims.lower_bound({.origin = origin}),
                 state.relayed_claims.lower_bound({.origin = origin + 1})};
@@ -327,7 +329,7 @@
                   {.job = one.inquiry.claim.job,
                    .origin = origin,
                    .request = one.inquiry.claim.request,
-                   .settles_in = settles_in},
+                   .settles_in = state.options.orphan_limit},
                   release_sending::kAtOnce, now);
   }
 }
@@ -339,6 +341,12 @@
       end = std::max(end, record.until);
     }
   }
+  for (const auto& [number, job] : state.jobs) {
+    end = std::max(end, EndOfTasks(state, job.deadline));
+  }
+  for (const auto& [key, relayed] : state.relayed_claims) {
+    end = std::max(end, relayed.inquiry.until);
+  }
   return std::chrono::ceil<milliseconds>(end - now);
 }
 
@@ -350,7 +358,7 @@
   }
   const claim_outcome outcome = DecideClaim(state, from, claim, now);
   if (!claim.running || outcome == claim_outcome::kRefused) {
-    SendVerdict(state, from, claim.job, AttemptOf(claim), outcome);
+    SendVerdict(state, from, claim.job, AttemptOf(claim), outcome, claim.local);
   }
 }
 
@@ -364,10 +372,9 @@
   const auto at = state.claiming_jobs.find(number);
   if (at != state.claiming_jobs.end() &&
       at->second.inquiry.claim.job == verdict.job) {
-    ContinueClaiming(
-        state, number,
-        TakeVerdict(state, at->second.inquiry, from, verdict.outcome, now),
-        "refused", now);
+    ContinueClaiming(state, number,
+                     TakeVerdict(state, at->second.inquiry, from, verdict, now),
+                     "refused", now);
   } else if (verdict.outcome == claim_outcome::kRefused) {
     // It comes late, or a witness was told of the running job.
     EndClaimedJob(state, verdict.job, number, now);
@@ -399,8 +406,10 @@
                 const job_attempt& attempt, claim_row_outcome outcome,
                 instant now) {
   const auto row = state.claim_rows.find(attempt);
+  bool started_without_row = false;
   if (row != state.claim_rows.end()) {
     row->second.settled = true;
+    started_without_row = row->second.local && !row->second.remove_at;
   }
   if (outcome != claim_row_outcome::kFailed) {
     state.rows_unanswered_since.reset();
@@ -418,6 +427,8 @@
       ContinueClaiming(state, attempt.request,
                        TakeRow(state, own->second.inquiry, outcome, now), "row",
                        now);
+    } else if (started_without_row && outcome == claim_row_outcome::kTaken) {
+      EndClaimedJob(state, job, attempt.request, now);
     }
     return;
   }
@@ -425,6 +436,8 @@
   if (relayed != state.relayed_claims.end() && !relayed->second.answered) {
     ContinueRelayed(state, attempt,
                     TakeRow(state, relayed->second.inquiry, outcome, now), now);
+  } else if (started_without_row && outcome == claim_row_outcome::kTaken) {
+    SendVerdict(state, attempt.origin, job, attempt, claim_outcome::kRefused);
   }
 }
 
--- a/packages/fleet/src/claim_inquiry_cmd.cc
+++ b/packages/fleet/src/claim_inquiry_cmd.cc
@@ -62,8 +62,9 @@
   return !inquiry.panels.empty() &&
          std::all_of(inquiry.panels.begin(), inquiry.panels.end(),
                      [&](const claim_panel& panel) {
-                       return CountGrants(inquiry, panel) + row_grants(panel) >=
-                              NeededGrants(inquiry, panel);
+                       return !panel.empty() &&
+                              CountGrants(inquiry, panel) + row_grants(panel) >=
+                                  NeededGrants(inquiry, panel);
                      });
 }
 
@@ -76,10 +77,11 @@
   return !inquiry.panels.empty() &&
          std::all_of(inquiry.panels.begin(), inquiry.panels.end(),
                      [&](const claim_panel& panel) {
-                       return CountGrants(inquiry, panel) +
-                                  CountAwaited(inquiry, panel) +
-                                  row_grants(panel) >=
-                              NeededGrants(inquiry, panel);
+                       return !panel.empty() &&
+                              CountGrants(inquiry, panel) +
+                                      CountAwaited(inquiry, panel) +
+                                      row_grants(panel) >=
+                                  NeededGrants(inquiry, panel);
                      });
 }
 
@@ -184,6 +186,10 @@
       AddOnce(inquiry.granted_by, from);
       break;
     case claim_outcome::kAbstained:
+      AddOnce(inquiry.unavailable, from);
+      // It is told once the submission has started.
+      std::erase(inquiry.told, from);
+      break;
     case claim_outcome::kUnproven:
       AddOnce(inquiry.unavailable, from);
       break;
@@ -274,6 +280,10 @@
   inquiry.panels = FindPanels(state, inquiry.claim);
   if (inquiry.claim.local) {
     ProbeStore(state, inquiry, now);
+    const auto row = state.claim_rows.find(AttemptOf(inquiry.claim));
+    if (row != state.claim_rows.end()) {
+      row->second.local = true;
+    }
   }
   if (!MayBeProven(inquiry)) {
     // A process that was paused hears its peers again in a moment.
@@ -304,11 +314,15 @@
 }
 
 claim_outcome TakeVerdict(engine& state, claim_inquiry& inquiry, uint64_t from,
-                          claim_outcome verdict, instant now) {
-  if (!Contains(inquiry.told, from)) {
+                          const claim_verdict& verdict, instant now) {
+  // A grant from before the data centre was cut off is none of its witnesses.
+  const bool is_earlier = verdict.outcome != claim_outcome::kRefused &&
+                          verdict.local != inquiry.claim.local;
+  if (!Contains(inquiry.told, from) || is_earlier) {
     return claim_outcome::kPending;
   }
-  return NoteAnswer(inquiry, from, verdict, now) == claim_outcome::kRefused
+  return NoteAnswer(inquiry, from, verdict.outcome, now) ==
+                 claim_outcome::kRefused
              ? claim_outcome::kRefused
              : Evaluate(state, inquiry, now);
 }
--- a/packages/fleet/src/outbox_cmd.cc
+++ b/packages/fleet/src/outbox_cmd.cc
@@ -21,6 +21,14 @@
          !std::holds_alternative<claim_confirmation>(message);
 }
 
+/// Whether all claims that a peer has to know have been sent to it, or are in
+/// its outbox.
+bool HasToldClaims(const engine& state, const peer& to) {
+  return !to.silent && !to.job_claims_lost &&
+         std::find(state.told_witnesses.begin(), state.told_witnesses.end(),
+                   to.identity.incarnation) != state.told_witnesses.end();
+}
+
 std::optional<envelope_echo> MakeEcho(const peer& to, instant now) {
   if (!to.echo_sent) {
     return std::nullopt;
@@ -100,6 +108,7 @@
                               .sent = now,
                               .echo = MakeEcho(one, now),
                               .load = *load,
+                              .claims_told = HasToldClaims(state, one),
                               .messages = std::exchange(one.outbox, {})}});
   }
 }
--- a/packages/fleet/src/peer_cmd.cc
+++ b/packages/fleet/src/peer_cmd.cc
@@ -245,10 +245,10 @@
       one.superseded = true;
       one.claims.clear();
       if (one.contact && one.ever_heard) {
-        EndClaimsOf(state, incarnation, one.known_alive, now);
+        EndClaimsOf(state, incarnation, now);
       }
-      state.lost_runs_end = std::max(
-          state.lost_runs_end, one.known_alive + state.options.orphan_limit);
+      state.lost_runs_end =
+          std::max(state.lost_runs_end, now + state.options.orphan_limit);
     }
   }
   std::erase_if(state.peers, [&newer](const auto& entry) {
@@ -508,6 +508,7 @@
   one.stream_in = received.stream;
   one.load = received.load;
   one.load_received = now;
+  one.claims_told = one.claims_told || received.claims_told;
   const bool stream_matches = received.heard_stream == one.stream_out;
   for (const peer_message& message : received.messages) {
     if (stream_matches || !std::holds_alternative<part_offer>(message)) {
--- a/packages/fleet/src/witness_list_cmd.cc
+++ b/packages/fleet/src/witness_list_cmd.cc
@@ -14,6 +14,10 @@
 namespace tarragondrift::fleet {
 namespace {
 
+/// How long a request that the store did not answer tells that it cannot be
+/// reached. Requests time out after a second.
+constexpr milliseconds kMaxEvidenceAge{1'500};
+
 witness MakeWitness(const entry_identity& entry) {
   return {.name = entry.name,
           .data_centre = entry.data_centre,
@@ -48,6 +52,40 @@
   return present;
 }
 
+/// Whether half of the other witnesses have been heard since this entry
+/// started.
+bool HeardMostWitnesses(const engine& state) {
+  size_t others = 0;
+  size_t heard = 0;
+  for (const witness& one : state.witnesses.list.witnesses) {
+    if (one.name == state.self.name) {
+      continue;
+    }
+    ++others;
+    heard += std::any_of(state.peers.begin(), state.peers.end(),
+                         [&one](const auto& entry) {
+                           return entry.second.identity.name == one.name &&
+                                  entry.second.ever_heard;
+                         })
+                 ? 1
+                 : 0;
+  }
+  return heard * 2 >= others;
+}
+
+/// Whether the whole fleet has told its claims to this entry since its start,
+/// and the tasks of entries that had failed by then have ended.
+bool KnowsAllClaims(const engine& state, instant now) {
+  return state.peers_listed && IsFullMesh(state) &&
+         now >= std::max(state.started + state.options.orphan_limit,
+                         state.lost_runs_end) &&
+         std::all_of(
+             state.peers.begin(), state.peers.end(), [](const auto& entry) {
+               const peer& one = entry.second;
+               return one.superseded || one.withdrawn || one.claims_told;
+             });
+}
+
 /// Whether a witness has been missing for so long that it is replaced.
 bool IsGone(const engine& state, const witness& one, instant now) {
   const auto since = state.witnesses.missing_since.find(one.name);
@@ -122,6 +160,7 @@
 
 void ApplyWitnessList(engine& state, const witness_list& list, instant now) {
   state.witnesses.read = now;
+  state.rows_unanswered_since.reset();
   if (list.version == 0) {
     state.witnesses.was_absent =
         state.witnesses.was_absent || state.witnesses.list.version == 0;
@@ -164,36 +203,47 @@
 }
 
 bool DecidesClaims(const engine& state, instant now) {
-  return state.witnesses.was_absent ||
-         now >= std::max(state.started + state.options.claim_memory,
-                         state.unknown_claims_end);
+  if (state.witnesses.was_absent || KnowsAllClaims(state, now)) {
+    return true;
+  }
+  // Peers tell of claims that last longer.
+  const milliseconds memory =
+      HeardMostWitnesses(state)
+          ? state.options.claim_memory
+          : state.options.max_caller_timeout + state.options.orphan_limit;
+  return now >= std::max(state.started + memory, state.unknown_claims_end);
 }
 
 void NoteRowUnanswered(engine& state, instant asked, instant now) {
+  const bool is_recent = state.rows_unanswered_since &&
+                         now - state.rows_unanswered_last < kMaxEvidenceAge;
   state.rows_unanswered_since =
-      std::min(state.rows_unanswered_since.value_or(asked), asked);
+      is_recent ? std::min(*state.rows_unanswered_since, asked) : asked;
   state.rows_unanswered_last = now;
 }
 
 bool IsCutOff(const engine& state, instant now) {
-  // Requests time out after a second.
-  constexpr milliseconds kMaxEvidenceAge{1'500};
   const std::vector<witness>& list = state.witnesses.list.witnesses;
   return state.rows_unanswered_since &&
          now - *state.rows_unanswered_since >= state.options.row_wait &&
          now - state.rows_unanswered_last < kMaxEvidenceAge &&
-         !HearsOtherDataCentre(state) &&
+         HearsOnlyOwnDataCentre(state, now) &&
          std::any_of(list.begin(), list.end(), [&state](const witness& one) {
            return one.data_centre != state.self.data_centre;
          });
 }
 
-bool HearsOtherDataCentre(const engine& state) {
+bool HearsOnlyOwnDataCentre(const engine& state, instant now) {
   const std::vector<witness>& list = state.witnesses.list.witnesses;
-  return std::any_of(list.begin(), list.end(), [&state](const witness& one) {
-    return one.data_centre != state.self.data_centre &&
-           FindWitness(state, one.name) != 0;
-  });
+  // After a pause all peers count as silent until they are heard again.
+  const bool was_paused =
+      now - state.listening_since <
+      state.options.silence_limit + state.options.silence_limit;
+  return !was_paused &&
+         std::none_of(list.begin(), list.end(), [&state](const witness& one) {
+           return one.data_centre != state.self.data_centre &&
+                  FindWitness(state, one.name) != 0;
+         });
 }
 
 std::vector<std::string> ListLocalWitnesses(const engine& state) {
--- a/packages/fleet/test/arbiter_list_test.cc
+++ b/packages/fleet/test/arbiter_list_test.cc
@@ -156,7 +156,8 @@
                         .running = true};
   state.relayed_claims[{claim.origin, claim.request}] = {
       .inquiry = {.claim = claim, .until = now + 10s, .told = {kPeer}},
-      .answered = true};
+      .answered = true,
+      .verdict = claim_outcome::kGranted};
   Advance(2s);
   Deliver(delivery::kDelivered);
   REQUIRE(state.peers.at(kPeer).silent);
--- a/packages/fleet/test/claim_test.cc
+++ b/packages/fleet/test/claim_test.cc
@@ -416,6 +416,61 @@
   CHECK(starts == before);
 }
 
+TEST_CASE_METHOD(claim_fixture,
+                 "a data centre that is cut off refused jobs that its own "
+                 "witnesses know") {
+  cut.insert(0);
+  store_up = false;
+  Advance(3s);
+  Submit(0, JobOf(0), kWholeTime);
+  Advance(entries[0].options.row_wait + 40ms);
+  // None of its own witnesses is one of this job.
+  const std::string job = JobOf(1, 2);
+  const uint64_t request = Submit(0, job, kWholeTime);
+  CHECK_FALSE(answers.contains(request));
+  Advance(kRunTime + 100ms);
+  CHECK(answers.at(request) == result_code::kOk);
+  // The others refuse what is there while they can.
+  const uint64_t other = Submit(1, JobOf(0, 2), kWholeTime);
+  Advance(kRunTime + 500ms);
+  CHECK(answers.at(other) == result_code::kNotRunStoreUnavailable);
+}
+
+TEST_CASE_METHOD(claim_fixture,
+                 "a witness granted a claim as of a data centre that is cut "
+                 "off while it heard another one") {
+  const job_claim claim{.job = JobOf(1, 2),
+                        .origin = 3,
+                        .request = 1,
+                        .timeout = kWholeTime,
+                        .valid_for = 2'700ms,
+                        .local = true};
+  CHECK(DecideClaim(entries[0], 3, claim, now) == claim_outcome::kAbstained);
+  cut.insert(0);
+  Advance(3s);
+  CHECK(DecideClaim(entries[0], 3, claim, now) == claim_outcome::kGranted);
+}
+
+TEST_CASE_METHOD(claim_fixture,
+                 "a submission started in a data centre that is cut off beside "
+                 "one that had been accepted there before") {
+  cut.insert(0);
+  Advance(3s);
+  job_claim claim{.job = JobOf(1, 2),
+                  .origin = 8,
+                  .request = 2,
+                  .timeout = kWholeTime,
+                  .valid_for = 2'700ms,
+                  .local = true};
+  // It was relayed to witnesses that are out of reach now.
+  entries[0].relayed_claims[AttemptOf(claim)] = {
+      .inquiry = {.claim = claim, .until = now + 2'700ms}, .answered = true};
+  job_claim next = claim;
+  next.origin = 9;
+  CHECK(DecideClaim(entries[0], 9, next, now) == claim_outcome::kRefused);
+  CHECK(DecideClaim(entries[0], 8, claim, now) == claim_outcome::kGranted);
+}
+
 TEST_CASE_METHOD(claim_fixture,
                  "two submissions ran beside each other as their arbiters were "
                  "cut off from one another") {
@@ -456,7 +511,10 @@
   job_claim second = first;
   second.origin = 3;
   CHECK(DecideClaim(restarted, 3, second, now) == claim_outcome::kAbstained);
+  // Claims may last longer, and no peer has told of them yet.
   now += restarted.options.claim_memory;
+  CHECK(DecideClaim(restarted, 3, second, now) == claim_outcome::kAbstained);
+  now += restarted.options.max_caller_timeout + restarted.options.orphan_limit;
   CHECK(DecideClaim(restarted, 3, second, now) == claim_outcome::kGranted);
 }
 
--- a/packages/fleet/test/relay_test.cc
+++ b/packages/fleet/test/relay_test.cc
@@ -196,7 +196,7 @@
   REQUIRE(release);
   CHECK(release->origin == kOrigin);
   // Its tasks may run until their leases have ended.
-  CHECK(release->settles_in > 0ms);
+  CHECK(release->settles_in == state.options.orphan_limit);
   CHECK(state.relayed_claims.empty());
 }
 
@@ -214,11 +214,45 @@
   const auto verdict = LastSent<claim_verdict>(kOrigin);
   REQUIRE(verdict);
   CHECK(verdict->outcome == claim_outcome::kUnproven);
+  Sent(kFar);
+  OnClaimRelease(state, kOrigin, {.job = job, .request = kRequest}, now);
   CHECK(LastSent<claim_release>(kFar));
   Wait(20ms);
   CHECK(state.claim_rows.empty());
 }
 
+TEST_CASE_METHOD(relay_fixture,
+                 "a relay that gave up ended the claim that another relay had "
+                 "been granted") {
+  const std::string job = JobOf(kNear);
+  Claim(job);
+  Decide(kNear, job, claim_outcome::kGranted);
+  Wait(state.options.claim_limit + 40ms);
+  const auto verdict = LastSent<claim_verdict>(kOrigin);
+  REQUIRE(verdict);
+  CHECK(verdict->outcome == claim_outcome::kUnproven);
+  CHECK_FALSE(LastSent<claim_release>(kNear));
+  CHECK(state.relayed_claims.contains(kAttempt));
+}
+
+TEST_CASE_METHOD(relay_fixture,
+                 "a grant from before the data centre was cut off counted as "
+                 "one of its own witnesses") {
+  const std::string job = JobOf(kNear);
+  Claim(job);
+  claim_inquiry& inquiry = state.relayed_claims.at(kAttempt).inquiry;
+  inquiry.claim.local = true;
+  inquiry.panels = {{kNear}};
+  Decide(kNear, job, claim_outcome::kGranted);
+  CHECK_FALSE(LastSent<claim_verdict>(kOrigin));
+  // A data centre without witnesses proves nothing.
+  inquiry.panels = {{}};
+  Wait(20ms);
+  const auto verdict = LastSent<claim_verdict>(kOrigin);
+  REQUIRE(verdict);
+  CHECK(verdict->outcome == claim_outcome::kUnproven);
+}
+
 TEST_CASE_METHOD(relay_fixture,
                  "a witness that does not answer delayed a first submission") {
   const std::string job = JobOf(kNear);
--- a/packages/link/src/fleet_codec.cc
+++ b/packages/link/src/fleet_codec.cc
@@ -289,6 +289,7 @@
     to.mutable_verdict()->set_origin(from.attempt.origin);
     to.mutable_verdict()->set_request(from.attempt.request);
     to.mutable_verdict()->set_outcome(static_cast<uint32_t>(from.outcome));
+    to.mutable_verdict()->set_local(from.local);
   }
   void operator()(const fleet::claim_release& from) const {
     to.mutable_release()->set_job(from.job);
@@ -385,7 +386,8 @@
           .job = from.verdict().job(),
           .attempt = {.origin = from.verdict().origin(),
                       .request = from.verdict().request()},
-          .outcome = DecodeOutcome(from.verdict().outcome())};
+          .outcome = DecodeOutcome(from.verdict().outcome()),
+          .local = from.verdict().local()};
     case wire::FleetMessage::kWitnesses:
       return DecodeWitnesses(from.witnesses());
     case wire::FleetMessage::kRelease:
@@ -420,6 +422,7 @@
   to.set_to(from.to);
   to.set_stream(from.stream);
   to.set_heard_stream(from.heard_stream);
+  to.set_claims_told(from.claims_told);
   to.set_sent_us(from.sent.time_since_epoch().count());
   if (from.echo) {
     to.set_echo_us(from.echo->sent.time_since_epoch().count());
@@ -438,7 +441,8 @@
                           .to = from.to(),
                           .stream = from.stream(),
                           .heard_stream = from.heard_stream(),
-                          .sent = instant{microseconds{from.sent_us()}}};
+                          .sent = instant{microseconds{from.sent_us()}},
+                          .claims_told = from.claims_told()};
   if (from.echo_us() != 0) {
     decoded.echo = {.sent = instant{microseconds{from.echo_us()}},
                     .age = microseconds{from.echo_age_us()}};
--- a/packages/link/test/fleet_link_test.cc
+++ b/packages/link/test/fleet_link_test.cc
@@ -87,7 +87,8 @@
                            .valid_for = 2'600ms,
                            .repeated = true,
                            .running = true,
-                           .relay = true},
+                           .relay = true,
+                           .local = true},
           fleet::claim_verdict{.job = "j",
                                .attempt = {.origin = 5, .request = 12},
                                .outcome = fleet::claim_outcome::kPending},
@@ -99,7 +100,16 @@
                               .valid_for = 2'600ms},
           fleet::claim_confirmation{.job = "j",
                                     .attempt = {.origin = 5, .request = 12},
-                                    .confirmed = true}};
+                                    .confirmed = true},
+          fleet::witness_update{.list = {.version = 9,
+                                         .witnesses = {{.name = "a",
+                                                        .data_centre = "x",
+                                                        .cpu_milli = 500}},
+                                         .former = {{.name = "b",
+                                                     .data_centre = "y",
+                                                     .cpu_milli = 120}}},
+                                .age = 1'300ms},
+          fleet::claim_verdict{.outcome = fleet::claim_outcome::kUnproven}};
 }
 
 fleet::delivery Deliver(fleet_link& link, const std::string& address,
@@ -131,6 +141,7 @@
   CHECK(claim.repeated);
   CHECK(claim.running);
   CHECK(claim.relay);
+  CHECK(claim.local);
   const fleet::job_attempt attempt{.origin = 5, .request = 12};
   const auto& verdict = std::get<fleet::claim_verdict>(seen.messages[1]);
   CHECK(verdict.job == "j");
@@ -150,6 +161,14 @@
   CHECK(reply.job == "j");
   CHECK(reply.attempt == attempt);
   CHECK(reply.confirmed);
+  const auto& update = std::get<fleet::witness_update>(seen.messages[5]);
+  const auto sent = std::get<fleet::witness_update>(MakeClaimMessages()[5]);
+  CHECK(update.list.version == 9);
+  CHECK(update.list.witnesses == sent.list.witnesses);
+  CHECK(update.list.former == sent.list.former);
+  CHECK(update.age == 1'300ms);
+  CHECK(std::get<fleet::claim_verdict>(seen.messages[6]).outcome ==
+        fleet::claim_outcome::kUnproven);
 }
 
 TEST_CASE("every kind of message arrives as it was sent") {
