--- a/packages/bench/fleet/job_costs.cc
+++ b/packages/bench/fleet/job_costs.cc
@@ -20,6 +20,7 @@
 #include "figure.h"
 #include "tarragondrift/fleet/caller_cmd.h"
 #include "tarragondrift/fleet/engine_cmd.h"
+#include "tarragondrift/fleet/witness_list_cmd.h"
 #include "tarragondrift/fleet/worker_cmd.h"
 
 namespace tarragondrift::bench {
@@ -97,6 +98,7 @@
   cost_player() {
     state_ = fleet::MakeEngine(
         {}, {.incarnation = 1, .name = "entry", .cpu_milli = 250}, now_);
+    fleet::ApplyWitnessList(state_, {}, now_);
     fleet::ApplyConfig(
         state_,
         std::make_shared<const fleet::fleet_config>(
@@ -146,6 +148,8 @@
 
  private:
   void Advance(milliseconds span) {
+    // It is the only witness of its claims.
+    fleet::ApplyWitnessList(state_, witnesses_, now_);
     for (const instant end = now_ + span; now_ < end; now_ += kTick) {
       Do([&] { fleet::Tick(state_, now_); });
       for (const auto& [worker, poll] : std::exchange(polls_, {})) {
@@ -179,6 +183,8 @@
     }
   }
 
+  fleet::witness_list witnesses_{.version = 1,
+                                 .witnesses = {{.name = "entry"}}};
   fleet::engine state_;
   instant now_{std::chrono::seconds(10)};
   nanoseconds longest_{0};
