--- a/packages/fleet/test/contact_test.cc
+++ b/packages/fleet/test/contact_test.cc
@@ -9,11 +9,11 @@
 #include <vector>
 
 #include "tarragondrift/fleet/caller_cmd.h"
+#include "tarragondrift/fleet/claim_cmd.h"
 #include "tarragondrift/fleet/contact_cmd.h"
 #include "tarragondrift/fleet/engine_cmd.h"
 #include "tarragondrift/fleet/peer_cmd.h"
 #include "tarragondrift/fleet/worker_cmd.h"
-#include "witness_fixture.h"
 
 namespace tarragondrift::fleet {
 namespace {
@@ -371,8 +371,11 @@
 // peer was noticed after 6 s at 147 entries, whose heartbeats are rare.
 TEST_CASE("the failure of a job's controller is noticed within a second") {
   fleet_fixture one({}, kFirstWeak + 10);
-  one.state.options.without.set(static_cast<size_t>(mechanism::kJobClaims));
   one.Advance(3s);
+  for (auto& [incarnation, peer] : one.state.peers) {
+    peer.decides_claims = true;
+    peer.announced_candidate = peer.candidate;
+  }
   SubmitJob(one.state,
             {.request = 7,
              .queue = "q",
@@ -382,6 +385,15 @@
                                  .estimate = 400ms}}},
              .caller_timeout = 5s},
             one.now);
+  REQUIRE(one.state.claiming_jobs.size() == 1);
+  const auto [number, waiting] = *one.state.claiming_jobs.begin();
+  REQUIRE_FALSE(waiting.inquiry.told.empty());
+  OnClaimVerdict(
+      one.state, waiting.inquiry.told.front(),
+      {.job = "job",
+       .attempt = {.origin = one.state.self.incarnation, .request = number},
+       .outcome = claim_outcome::kGranted},
+      one.now);
   one.Advance(100ms);
   REQUIRE(one.answers.empty());
   for (const auto& [incarnation, peer] : one.state.peers) {
