fleet: the log tells why a claim is not proven, and what is sent by kind

A refusal for want of proof names the witnesses that abstained and what came of the row; a witness that decides nothing for longer than its own memory says whose claims it waits for; envelopes and messages are counted by kind (metrics, and a log line each 10 s).

--- a/packages/daemon/src/fleet_metrics.cc
+++ b/packages/daemon/src/fleet_metrics.cc
@@ -5,6 +5,7 @@
 
 #include "process_usage.h"
 #include "tarragondrift/fleet/admission_share_cmd.h"
+#include "tarragondrift/fleet/outbox_cmd.h"
 #include "tarragondrift/fleet/speed_cmd.h"
 
 namespace tarragondrift {
@@ -220,6 +221,13 @@
   AppendMetric(page, "tarragondrift_tasks_moved_total", counts.tasks_moved);
   AppendMetric(page, "tarragondrift_returns_ignored_total",
                counts.returns_ignored);
+  AppendMetric(page, "tarragondrift_envelopes_sent_total",
+               counts.envelopes_sent);
+  for (size_t kind = 0; kind < counts.messages_sent.size(); ++kind) {
+    page << "tarragondrift_messages_sent_total{kind=\""
+         << fleet::DescribeMessageKind(kind) << "\"} "
+         << counts.messages_sent.at(kind) << '\n';
+  }
   for (const evacuated_data_centre& one : snapshot_.evacuated) {
     AppendEvacuated(page, one);
   }
--- a/packages/fleet/include/tarragondrift/fleet/engine_base.h
+++ b/packages/fleet/include/tarragondrift/fleet/engine_base.h
@@ -3,6 +3,7 @@
 #ifndef TARRAGONDRIFT_FLEET_ENGINE_BASE_H_
 #define TARRAGONDRIFT_FLEET_ENGINE_BASE_H_
 
+#include <array>
 #include <chrono>
 #include <cstdint>
 #include <map>
@@ -252,6 +253,9 @@
   /// Tasks that were given up because they crash workers.
   uint64_t tasks_given_up = 0;
   std::map<result_code, uint64_t> answers;
+  /// Envelopes sent to peers, and the messages in them by kind.
+  uint64_t envelopes_sent = 0;
+  std::array<uint64_t, std::variant_size_v<peer_message>> messages_sent{};
 };
 
 /// Whom this entry tells of a change of its own at once.
@@ -370,6 +374,8 @@
   /// Changes that contacts are told of before their next heartbeat is due.
   announcement announce = announcement::kNone;
   instant next_control;
+  /// When the messages sent since the start are logged next.
+  instant next_message_log;
   bool dispatch_due = false;
   /// So many held workers are under suspicion that none is taken for faulty.
   bool ignores_suspicion = false;
--- a/packages/fleet/include/tarragondrift/fleet/outbox_cmd.h
+++ b/packages/fleet/include/tarragondrift/fleet/outbox_cmd.h
@@ -3,6 +3,7 @@
 #ifndef TARRAGONDRIFT_FLEET_OUTBOX_CMD_H_
 #define TARRAGONDRIFT_FLEET_OUTBOX_CMD_H_
 
+#include <cstddef>
 #include <cstdint>
 
 #include "tarragondrift/fleet/engine_base.h"
@@ -28,6 +29,10 @@
 /// flight.
 void SendOutboxes(engine& state, instant now);
 
+/// Returns the name of a kind of message, for logs and metrics.
+/// @param kind its place in peer_message.
+const char* DescribeMessageKind(size_t kind);
+
 /// Returns the earliest time, on this entry's clock, at which an envelope was
 /// sent.
 instant EarliestSent(const envelope& received, instant now);
--- a/packages/fleet/src/claim_inquiry_cmd.cc
+++ b/packages/fleet/src/claim_inquiry_cmd.cc
@@ -365,6 +365,24 @@
   }
 }
 
+namespace {
+
+const char* DescribeRowState(claim_row_state state) {
+  switch (state) {
+    case claim_row_state::kNone:
+      return "none";
+    case claim_row_state::kAsked:
+      return "asked";
+    case claim_row_state::kHeld:
+      return "held";
+    case claim_row_state::kFailed:
+      return "failed";
+  }
+  return "none";
+}
+
+}  // namespace
+
 void DescribeGrant(log_line& line, const claim_inquiry& inquiry) {
   std::vector<std::string> names;
   for (const uint64_t one : inquiry.granted_by) {
@@ -375,6 +393,8 @@
   }
   line.With("granted_by", names.empty() ? "none" : JoinNames(names))
       .With("asked", static_cast<int64_t>(inquiry.told.size()))
+      .With("unavailable", static_cast<int64_t>(inquiry.unavailable.size()))
+      .With("row", DescribeRowState(inquiry.row))
       .With("list", static_cast<int64_t>(inquiry.list_version));
 }
 
--- a/packages/fleet/src/engine_cmd.cc
+++ b/packages/fleet/src/engine_cmd.cc
@@ -7,6 +7,7 @@
 #include "tarragondrift/fleet/claim_cmd.h"
 #include "tarragondrift/fleet/contact_cmd.h"
 #include "tarragondrift/fleet/crash_cmd.h"
+#include "tarragondrift/fleet/outbox_cmd.h"
 #include "tarragondrift/fleet/part_cmd.h"
 #include "tarragondrift/fleet/peer_cmd.h"
 #include "tarragondrift/fleet/responsiveness_cmd.h"
@@ -19,6 +20,24 @@
 namespace tarragondrift::fleet {
 namespace {
 
+/// Logs now and then how many messages of each kind were sent since the start.
+void LogMessagesSent(engine& state, instant now) {
+  constexpr milliseconds kInterval{10'000};
+  if (now < state.next_message_log) {
+    return;
+  }
+  state.next_message_log = now + kInterval;
+  log_line line("messages_sent");
+  line.With("envelopes", static_cast<int64_t>(state.counts.envelopes_sent));
+  for (size_t kind = 0; kind < state.counts.messages_sent.size(); ++kind) {
+    const uint64_t sent = state.counts.messages_sent.at(kind);
+    if (sent > 0) {
+      line.With(DescribeMessageKind(kind), static_cast<int64_t>(sent));
+    }
+  }
+  AddLogLine(state, line);
+}
+
 /// Interval at which the assignment of workers is checked.
 constexpr milliseconds kControlInterval{100};
 /// The same while the entry has just started, when every caller waits for the
@@ -118,6 +137,7 @@
 }
 
 void Tick(engine& state, instant now) {
+  LogMessagesSent(state, now);
   if (now >= state.next_control) {
     const bool starting = now - state.started < state.options.startup_wait;
     state.next_control =
--- a/packages/fleet/src/outbox_cmd.cc
+++ b/packages/fleet/src/outbox_cmd.cc
@@ -1,6 +1,7 @@
 #include "tarragondrift/fleet/outbox_cmd.h"
 
 #include <algorithm>
+#include <array>
 #include <optional>
 #include <utility>
 #include <variant>
@@ -94,7 +95,9 @@
     one.lost_envelope_resets =
         std::any_of(one.outbox.begin(), one.outbox.end(), ResetsPeerIfLost);
     one.releases_in_flight.clear();
+    ++state.counts.envelopes_sent;
     for (const peer_message& message : one.outbox) {
+      ++state.counts.messages_sent[message.index()];
       if (const auto* release = std::get_if<claim_release>(&message)) {
         one.releases_in_flight.push_back(*release);
       }
@@ -113,6 +116,17 @@
   }
 }
 
+const char* DescribeMessageKind(size_t kind) {
+  constexpr std::array<const char*, std::variant_size_v<peer_message>> kNames{
+      "heartbeat",     "part_offer",   "part_cancel",
+      "part_result",   "job_cancel",   "config_update",
+      "crash_report",  "evacuation",   "controlled_workers",
+      "part_return",   "job_claim",    "claim_verdict",
+      "claim_release", "claim_notice", "claim_confirmation",
+      "witness_update"};
+  return kNames.at(kind);
+}
+
 instant EarliestSent(const envelope& received, instant now) {
   // Entries of earlier versions do not echo.
   return received.echo ? std::min(now, received.echo->sent + received.echo->age)
--- a/packages/fleet/src/peer_cmd.cc
+++ b/packages/fleet/src/peer_cmd.cc
@@ -113,13 +113,35 @@
   ResetPeer(state, one, now);
 }
 
+/// Logs that this entry decides no claims for longer than its own memory, as a
+/// peer knows of claims that last. Small delays are not logged.
+void LogWitnessAbstains(engine& state, const peer& one, instant end,
+                        instant now) {
+  constexpr milliseconds kMinDelay{500};
+  if (end - state.unknown_claims_end < kMinDelay) {
+    return;
+  }
+  log_line line("witness_abstains");
+  line.With("peer", one.identity.name)
+      .With("incarnation", static_cast<int64_t>(one.identity.incarnation))
+      .With("started_ms",
+            std::chrono::floor<milliseconds>(now - state.started).count())
+      .With("claims_end_ms",
+            std::chrono::floor<milliseconds>(end - now).count());
+  AddLogLine(state, line, true);
+}
+
 /// Takes what a heartbeat tells of the witnesses and their claims.
 void NoteWitnesses(engine& state, const peer& one, const heartbeat& received,
                    instant sent, instant now) {
   if (now - state.started < state.options.claim_memory) {
     // They include those that it had granted with the process before this one.
-    state.unknown_claims_end =
-        std::max(state.unknown_claims_end, now + received.claims_end_in);
+    const instant end = now + received.claims_end_in;
+    if (end > std::max(state.unknown_claims_end,
+                       state.started + state.options.claim_memory)) {
+      LogWitnessAbstains(state, one, end, now);
+    }
+    state.unknown_claims_end = std::max(state.unknown_claims_end, end);
   }
   const uint64_t known = state.witnesses.list.version;
   if (received.witness_version == known && known != 0) {
