--- a/packages/bench/fleet/fleet_carry.cc
+++ b/packages/bench/fleet/fleet_carry.cc
@@ -205,6 +205,10 @@
   }
   if (answer.code == result_code::kOk) {
     ++checks_.outcome.served;
+    if (schedule_.power_loss.count() > 0) {
+      checks_.outcome.served_at.push_back(
+          std::chrono::floor<milliseconds>(loop_.now() - instant(kLead)));
+    }
     job.ended = true;
     CheckComplete(checks_, job.spec);
   } else if (PromisesNotRun(answer.code)) {
--- a/packages/bench/fleet/fleet_faults.cc
+++ b/packages/bench/fleet/fleet_faults.cc
@@ -41,6 +41,82 @@
   });
 }
 
+/// All entries lose power, and all but some return within a moment.
+void world::LosePower() {
+  constexpr milliseconds kDown{800};
+  constexpr uint32_t kSpreadMs = 300;
+  constexpr milliseconds kForGood{600'000};
+  Trace("fault", "all entries lose power");
+  for (size_t at = 0; at < entries_.size(); ++at) {
+    const bool is_absent =
+        schedule_.absent_every > 0 && at % schedule_.absent_every == 0;
+    const milliseconds spread(Below(kSpreadMs));
+    if (entries_[at].up) {
+      Kill(at, is_absent ? kForGood : kDown + spread);
+    }
+  }
+}
+
+/// The last witness on the list stands still for a moment.
+void world::FreezeWitness() {
+  constexpr milliseconds kSpan{1'000};
+  for (size_t at = 0; at < entries_.size(); ++at) {
+    const auto& witnesses = store_.witnesses.witnesses;
+    if (!witnesses.empty() && witnesses.back().name == entries_[at].name) {
+      entries_[at].frozen = true;
+      loop_.After(kSpan, [this, at] {
+        sim_entry& one = entries_[at];
+        one.frozen = false;
+        for (const auto& held : std::exchange(one.held, {})) {
+          held();
+        }
+      });
+    }
+  }
+}
+
+/// Plans the faults that go before a loss of power.
+void world::DisturbBeforePowerLoss() {
+  constexpr milliseconds kSpan{5'000};
+  constexpr milliseconds kAfterReturn{2'000};
+  constexpr milliseconds kBetweenKills{1'000};
+  const instant loss(kLead + schedule_.power_loss);
+  if (schedule_.cuts_data_centre) {
+    loop_.At(loss - kSpan, [this, until = loss + kAfterReturn] {
+      for (size_t from = 0; from < entries_.size(); ++from) {
+        for (size_t to = 0; to < entries_.size(); ++to) {
+          const bool is_inside = DataCentreOf(from) == DataCentreOf(0);
+          if (is_inside != (DataCentreOf(to) == DataCentreOf(0))) {
+            cut_links_[{from, to}] = until;
+          }
+        }
+      }
+    });
+  }
+  for (instant at = loss - kSpan; schedule_.kills_witness && at < loss;
+       at += kBetweenKills) {
+    loop_.At(at, [this] {
+      const auto& witnesses = store_.witnesses.witnesses;
+      const auto found = std::find_if(
+          entries_.begin(), entries_.end(), [&witnesses](const sim_entry& one) {
+            return one.up && !witnesses.empty() &&
+                   one.name == witnesses.back().name;
+          });
+      if (found != entries_.end()) {
+        Kill(static_cast<size_t>(found - entries_.begin()), milliseconds(200));
+      }
+    });
+  }
+  if (schedule_.freezes_witness) {
+    loop_.At(loss + kBetweenKills + kBetweenKills, [this] { FreezeWitness(); });
+  }
+  if (schedule_.stops_store) {
+    loop_.At(loss - kSpan, [this, until = loss] {
+      store_stopped_until_ = std::max(store_stopped_until_, until);
+    });
+  }
+}
+
 void world::Fault() {
   ++checks_.outcome.faults;
   const size_t entry = Below(schedule_.entries);
--- a/packages/bench/fleet/fleet_sim.cc
+++ b/packages/bench/fleet/fleet_sim.cc
@@ -17,8 +17,6 @@
 namespace {
 
 constexpr milliseconds kTick{20};
-/// Traffic begins when entries and workers have met.
-constexpr milliseconds kLead{3'000};
 /// How many times longer a long task runs than a short one, on average.
 constexpr double kLongTaskFactor = 3.3;
 constexpr uint32_t kMostTries = 3;
@@ -236,6 +234,9 @@
                           .need = {.cpu_milli = cpu},
                           .estimate = milliseconds(
                               100 + Below(HasLongTasks() ? 2'000 : 500))}}}};
+  const bool is_patient =
+      schedule_.patient_callers > 0 && Fraction() < schedule_.patient_callers;
+  jobs_[id].patience = is_patient ? kPatientDeadline : Deadline();
   ++checks_.outcome.jobs;
   Submit(id);
   // About as many cores are busy with long tasks as with short ones.
@@ -248,8 +249,8 @@
 
 milliseconds world::TimeLeft(const sim_job& job) const {
   return schedule_.gives_rest ? std::chrono::floor<milliseconds>(
-                                    job.first_sent + Deadline() - loop_.now())
-                              : Deadline();
+                                    job.first_sent + job.patience - loop_.now())
+                              : job.patience;
 }
 
 void world::Submit(const std::string& id) {
@@ -370,6 +371,10 @@
                                  schedule_.length.count())))),
              [this] { CutEntries(); });
   }
+  if (schedule_.power_loss.count() > 0) {
+    loop_.At(instant(kLead + schedule_.power_loss), [this] { LosePower(); });
+    DisturbBeforePowerLoss();
+  }
   for (const evacuation_change& change :
        PlanEvacuations(schedule_, instant(kLead))) {
     loop_.At(change.at, [this, change] { Evacuate(change); });
--- a/packages/bench/fleet/fleet_sim.h
+++ b/packages/bench/fleet/fleet_sim.h
@@ -6,6 +6,7 @@
 #include <chrono>
 #include <cstdint>
 #include <string>
+#include <vector>
 
 #include "tarragondrift/fleet/mechanism_base.h"
 
@@ -61,6 +62,19 @@
   /// Times in which the store does not answer; some of the calls are carried
   /// out afterwards.
   uint32_t store_outages = 0;
+  /// When all entries lose power, after the start of the traffic; 0 for never.
+  /// They return a second later, every so many of them not at all.
+  std::chrono::milliseconds power_loss{0};
+  uint32_t absent_every = 0;
+  /// Before it, for some seconds, a data centre is cut off from the others; a
+  /// witness is killed again and again; the store does not answer.
+  bool cuts_data_centre = false;
+  bool kills_witness = false;
+  bool stops_store = false;
+  /// A witness stands still for a second just after the return.
+  bool freezes_witness = false;
+  /// Share of the callers that wait for up to 30 s.
+  double patient_callers = 0;
   /// Share of the callers' requests that arrive late, or whose end of the
   /// connection does, and whether such a caller gives the rest of its time to
   /// the next submission, or all of it again.
@@ -112,6 +126,9 @@
   /// at the end.
   uint64_t envelopes = 0;
   uint64_t max_contacts = 0;
+  /// When jobs were served, after the start of the traffic; only where entries
+  /// lose power.
+  std::vector<std::chrono::milliseconds> served_at;
 
   fleet_outcome& operator+=(const fleet_outcome& other);
 };
--- a/packages/bench/fleet/fleet_world.h
+++ b/packages/bench/fleet/fleet_world.h
@@ -29,10 +29,13 @@
 
 /// Time of a message one way.
 inline constexpr microseconds kOneWay{1'000};
+/// Traffic begins when entries and workers have met.
+inline constexpr milliseconds kLead{3'000};
 /// How long callers wait: for short tasks, and for long ones in every second
 /// schedule. Long tasks outlast the resubmission of their job.
 inline constexpr milliseconds kShortDeadline{1'500};
 inline constexpr milliseconds kLongDeadline{4'000};
+inline constexpr milliseconds kPatientDeadline{30'000};
 /// When callers send a job again whose connection broke.
 inline constexpr milliseconds kResend{1'300};
 inline constexpr uint32_t kEntryCpu = 250;
@@ -54,6 +57,8 @@
 struct sim_job {
   fleet::job_spec spec;
   uint32_t tries = 0;
+  /// How long its caller waits in all.
+  milliseconds patience{0};
   bool ended = false;
   size_t entry = 0;
   uint64_t request = 0;
@@ -158,6 +163,9 @@
   void FollowWitnesses(size_t at, uint64_t incarnation);
   void StopStore();
   void HoldLinks();
+  void LosePower();
+  void DisturbBeforePowerLoss();
+  void FreezeWitness();
   void CutEntries();
   bool IsLinkCut(size_t from, size_t to) const;
   instant ArrivalOf(size_t from, size_t to) const;
--- a/packages/bench/fleet/main.cc
+++ b/packages/bench/fleet/main.cc
@@ -16,6 +16,7 @@
 #include "figure.h"
 #include "fleet_sim.h"
 #include "job_costs.h"
+#include "recovery.h"
 
 namespace tarragondrift::bench {
 namespace {
@@ -31,11 +32,13 @@
   bool sizes = false;
   /// Plays jobs of growing size instead.
   bool jobs = false;
+  /// Plays losses of all power instead.
+  bool recovery = false;
   fleet::mechanism_set without;
 };
 
 bool Parse(int count, char** arguments, options& into) {
-  const std::array<option, 10> flags{
+  const std::array<option, 11> flags{
       {{"seeds", required_argument, nullptr, 's'},
        {"first", required_argument, nullptr, 'f'},
        {"threads", required_argument, nullptr, 't'},
@@ -44,6 +47,7 @@
        {"trace", no_argument, nullptr, 'v'},
        {"sizes", no_argument, nullptr, 'z'},
        {"jobs", no_argument, nullptr, 'j'},
+       {"recovery", no_argument, nullptr, 'r'},
        {"without", required_argument, nullptr, 'w'},
        {}}};
   int chosen = 0;
@@ -84,6 +88,9 @@
       case 'j':
         into.jobs = true;
         break;
+      case 'r':
+        into.recovery = true;
+        break;
       case 'e':
         into.expect_caught = true;
         break;
@@ -360,6 +367,9 @@
   if (chosen.sizes) {
     return PlaySizes();
   }
+  if (chosen.recovery) {
+    return PrintRecovery() ? 0 : 1;
+  }
   if (chosen.jobs) {
     return PrintJobCosts() ? 0 : 1;
   }
@@ -392,6 +402,7 @@
     PrintUnrecognised(chosen);
     PrintDense(chosen);
     PrintCutEntries(chosen);
+    met = PrintRecovery() && met;
   }
   PrintFigure({.name = "fleet_task_crashes",
                .value = static_cast<double>(sum.crashes),
--- /dev/null
+++ b/packages/bench/fleet/recovery.h
@@ -0,0 +1,14 @@
+// Measures how soon a fleet serves again after all entries have lost power.
+#ifndef TARRAGONDRIFT_BENCH_FLEET_RECOVERY_H_
+#define TARRAGONDRIFT_BENCH_FLEET_RECOVERY_H_
+
+namespace tarragondrift::bench {
+
+/// Plays losses of power with several faults before them, and prints how long
+/// it takes at most until half of the jobs of calm seconds are served.
+/// @return whether the figures keep their bounds.
+bool PrintRecovery();
+
+}  // namespace tarragondrift::bench
+
+#endif  // TARRAGONDRIFT_BENCH_FLEET_RECOVERY_H_
