fleet: restarted witnesses wait for no claims that their predecessors cannot have granted

Cause: a restarted witness abstains for as long as its peers tell it that claims last. They told the end of every claim they knew of, also of those that were made after it had started and of those that had been refused but were still in the table of relayed claims. So callers that kept trying kept all witnesses from deciding, each for as long as the most patient of them.

Change: a peer tells only of claims that were made before it knew of the witness's process, and not of those that were refused. A later claim asked that process itself.

--- a/packages/fleet/include/tarragondrift/fleet/claim_base.h
+++ b/packages/fleet/include/tarragondrift/fleet/claim_base.h
@@ -139,6 +139,8 @@
 /// A claim that its origin, or the entry that relays it, asks for.
 struct claim_inquiry {
   job_claim claim;
+  /// When this entry first heard of it.
+  instant begun;
   /// All tasks of the submission have ended by then.
   instant until;
   /// Those that have to grant it, by list. Empty if it is relayed, and before
--- a/packages/fleet/include/tarragondrift/fleet/claim_cmd.h
+++ b/packages/fleet/include/tarragondrift/fleet/claim_cmd.h
@@ -36,8 +36,11 @@
 /// Ends the claims of an entry that has been restarted, as its tasks end.
 void EndClaimsOf(engine& state, uint64_t origin, instant now);
 
-/// Returns the time after which the claims have ended that this entry knows of.
-std::chrono::milliseconds ClaimsEndIn(const engine& state, instant now);
+/// Returns the time after which the claims have ended that this entry knows of
+/// and that were made before it knew of a peer's process. The process before
+/// that one may have granted them, no later one.
+std::chrono::milliseconds ClaimsEndIn(const engine& state, const peer& to,
+                                      instant now);
 
 /// Handle messages; `from` is the sender.
 void OnJobClaim(engine& state, uint64_t from, job_claim claim, instant now);
--- a/packages/fleet/include/tarragondrift/fleet/peer_base.h
+++ b/packages/fleet/include/tarragondrift/fleet/peer_base.h
@@ -173,6 +173,8 @@
 /// Another entry.
 struct peer {
   entry_identity identity;
+  /// When this entry learned of the process.
+  instant met;
   /// Whether any message was received from it.
   bool ever_heard = false;
   instant last_heard;
--- a/packages/fleet/src/claim_cmd.cc
+++ b/packages/fleet/src/claim_cmd.cc
@@ -97,8 +97,11 @@
   relayed_claim& relayed = at->second;
   claim.relay = false;
   if (added) {
-    relayed.inquiry = {
-        .claim = claim, .until = now + claim.valid_for, .asked = now};
+    relayed.inquiry = {.claim = claim,
+                       // One that runs may have begun long ago.
+                       .begun = claim.running ? instant{} : now,
+                       .until = now + claim.valid_for,
+                       .asked = now};
   }
   if (claim.running) {
     relayed.answered = true;
@@ -269,6 +272,7 @@
                             .timeout = arrival.caller_timeout,
                             .repeated = plan.repeated,
                             .relay = ClaimsByRelay(state, now)},
+                  .begun = now,
                   .until = EndOfTasks(state, plan.deadline),
                   .asked = now}};
   if (IsOff(state.options.without, mechanism::kJobClaims)) {
@@ -334,18 +338,24 @@
   }
 }
 
-milliseconds ClaimsEndIn(const engine& state, instant now) {
+milliseconds ClaimsEndIn(const engine& state, const peer& to, instant now) {
   instant end = now;
   for (const auto& [job, record] : state.job_claims) {
-    if (!record.released) {
+    if (!record.released && record.made <= to.met) {
       end = std::max(end, record.until);
     }
   }
   for (const auto& [number, job] : state.jobs) {
-    end = std::max(end, EndOfTasks(state, job.deadline));
+    if (job.arrived <= to.met) {
+      end = std::max(end, EndOfTasks(state, job.deadline));
+    }
   }
   for (const auto& [key, relayed] : state.relayed_claims) {
-    end = std::max(end, relayed.inquiry.until);
+    const bool may_run =
+        !relayed.answered || relayed.verdict == claim_outcome::kGranted;
+    if (may_run && relayed.inquiry.begun <= to.met) {
+      end = std::max(end, relayed.inquiry.until);
+    }
   }
   return std::chrono::ceil<milliseconds>(end - now);
 }
--- a/packages/fleet/src/peer_cmd.cc
+++ b/packages/fleet/src/peer_cmd.cc
@@ -46,7 +46,7 @@
       .witness_version = state.witnesses.list.version,
       .witness_age = WitnessAge(state, now),
       .claims_end_in = now - to.contact_since < state.options.claim_memory
-                           ? ClaimsEndIn(state, now)
+                           ? ClaimsEndIn(state, to, now)
                            : milliseconds{0},
       .claims = to.candidate ? claims : std::vector<worker_claim>{}};
 }
@@ -440,6 +440,7 @@
   auto [at, added] = state.peers.try_emplace(identity.incarnation);
   at->second.identity = identity;
   if (added) {
+    at->second.met = now;
     state.next_contact_choice = now;
     if (IsFullMesh(state)) {
       state.next_heartbeat = now;
--- a/packages/fleet/test/relay_test.cc
+++ b/packages/fleet/test/relay_test.cc
@@ -156,6 +156,33 @@
   CHECK(verdict->outcome == claim_outcome::kGranted);
 }
 
+TEST_CASE_METHOD(
+    relay_fixture,
+    "a restarted witness abstained for claims that were made after "
+    "its start") {
+  const auto told = [this] {
+    return ClaimsEndIn(state, state.peers.at(kFar), now);
+  };
+  Claim(JobOf(kNear));
+  CHECK(told() == 0ms);
+  Grant(JobOf(kNear));
+  CHECK(told() == 0ms);
+  // The claim may have been granted by the process before this one.
+  state.peers.at(kFar).met = now;
+  CHECK(told() == 2'700ms);
+}
+
+TEST_CASE_METHOD(relay_fixture,
+                 "a restarted witness abstained for claims that were never "
+                 "granted") {
+  const std::string job = JobOf(kNear);
+  Claim(job);
+  Decide(kNear, job, claim_outcome::kAbstained);
+  Decide(kFar, job, claim_outcome::kAbstained);
+  state.peers.at(kFar).met = now;
+  CHECK(ClaimsEndIn(state, state.peers.at(kFar), now) == 0ms);
+}
+
 TEST_CASE_METHOD(relay_fixture, "a relayed claim stayed after its job's end") {
   const std::string job = JobOf(kNear);
   Claim(job);
