fleet: a restarted witness is told of lasting claims and need not wait for their end

Cause: one job of a patient caller that is known anywhere keeps a restarted witness from deciding until that job could have ended (up to 31 s), though the job ends in less than a second and its origin tells the witness of it.

Ruled out: claims made after the restart, which are not told any more.

Change: a witness tells another one that has been restarted the claims that it has granted with it, and an origin those of its own jobs. A peer that has told all that it knows is not waited for. What a peer knew that was itself restarted before it had told is waited for as before; so is a peer that is heard for the first time long after the start, which counted only in the first 3 s.

--- a/packages/fleet/include/tarragondrift/fleet/engine_base.h
+++ b/packages/fleet/include/tarragondrift/fleet/engine_base.h
@@ -340,8 +340,9 @@
   instant next_store_probe;
   witness_table witnesses;
   /// By then the claims have ended that its peers knew of when this process met
-  /// them.
-  instant unknown_claims_end;
+  /// them, and those of them that a peer which has been restarted did not tell.
+  instant known_claims_end;
+  instant untold_claims_end;
   /// What this entry knows of claims as a witness and as a controller, by job.
   std::unordered_map<std::string, claim_record> job_claims;
   std::unordered_map<std::string, claim_round> claim_rounds;
--- a/packages/fleet/include/tarragondrift/fleet/peer_base.h
+++ b/packages/fleet/include/tarragondrift/fleet/peer_base.h
@@ -219,8 +219,12 @@
   bool announced_candidate = false;
   /// It decides claims on jobs.
   bool decides_claims = false;
-  /// It has told all claims that it knows and this entry is a witness of.
+  /// It has told all claims that it knows and this entry is a witness of, and
+  /// by when they have ended.
   bool claims_told = false;
+  instant claims_end;
+  /// This entry has told it the claims that it knows as a witness.
+  bool records_told = false;
   /// Its heartbeat interval, as announced; 0 if unknown.
   std::chrono::milliseconds heartbeat_interval{0};
   /// A heartbeat is due before the interval has passed.
--- a/packages/fleet/src/claim_cmd.cc
+++ b/packages/fleet/src/claim_cmd.cc
@@ -154,6 +154,7 @@
   for (auto& [incarnation, one] : state.peers) {
     if (one.job_claims_lost && MayArbitrate(one)) {
       one.job_claims_lost = false;
+      one.records_told = false;
       found.push_back(incarnation);
     }
   }
@@ -188,6 +189,51 @@
   }
 }
 
+/// Whether an instance is a witness of a job.
+bool IsWitnessOf(const engine& state, const std::string& name,
+                 const std::string& job) {
+  const std::vector<std::vector<std::string>> panels = ChoosePanels(state, job);
+  return std::any_of(panels.begin(), panels.end(), [&name](const auto& panel) {
+    return std::find(panel.begin(), panel.end(), name) != panel.end();
+  });
+}
+
+/// Tells a witness the claims that its process before may have granted: those
+/// that this entry has granted as the other witness, and those of its own jobs,
+/// whose relay may have failed as well.
+void TellRecords(engine& state, peer& to, instant now) {
+  to.records_told = true;
+  const uint64_t incarnation = to.identity.incarnation;
+  for (const auto& [job, record] : state.job_claims) {
+    if (record.outcome == claim_outcome::kGranted && !record.released &&
+        now < record.until && record.made <= to.met &&
+        IsWitnessOf(state, to.identity.name, job)) {
+      SendTo(state, incarnation,
+             job_claim{.job = job,
+                       .origin = record.attempt.origin,
+                       .request = record.attempt.request,
+                       .timeout = record.timeout,
+                       .valid_for =
+                           std::chrono::ceil<milliseconds>(record.until - now),
+                       .running = true});
+    }
+  }
+  for (auto& [number, job] : state.jobs) {
+    if (job.arrived <= to.met && !Contains(job.witnesses, incarnation) &&
+        IsWitnessOf(state, to.identity.name, job.spec.id)) {
+      job.witnesses.push_back(incarnation);
+      SendTo(state, incarnation,
+             job_claim{.job = job.spec.id,
+                       .origin = state.self.incarnation,
+                       .request = job.claim_number,
+                       .timeout = job.caller_timeout,
+                       .valid_for = std::chrono::ceil<milliseconds>(
+                           EndOfTasks(state, job.deadline) - now),
+                       .running = true});
+    }
+  }
+}
+
 /// Tells witnesses that have been restarted or are heard again of running jobs,
 /// and sends claims again that were lost.
 void FollowWitnesses(engine& state, instant now) {
@@ -225,6 +271,13 @@
     TellAgain(state, lost, MakeClaim(waiting.inquiry, now),
               waiting.inquiry.told);
   }
+  for (const uint64_t one : state.told_witnesses) {
+    const auto at = state.peers.find(one);
+    if (at != state.peers.end() && !at->second.records_told &&
+        IsListedWitness(state, at->second.identity.name)) {
+      TellRecords(state, at->second, now);
+    }
+  }
 }
 
 /// Handles a verdict on a claim that is relayed.
--- a/packages/fleet/src/peer_cmd.cc
+++ b/packages/fleet/src/peer_cmd.cc
@@ -113,12 +113,11 @@
   ResetPeer(state, one, now);
 }
 
-/// Logs that this entry decides no claims for longer than its own memory, as a
-/// peer knows of claims that last. Small delays are not logged.
-void LogWitnessAbstains(engine& state, const peer& one, instant end,
-                        instant now) {
+/// Logs that this entry decides no claims for longer than its own memory,
+/// unless a peer tells those that it knows. Small delays are not logged.
+void LogWitnessAbstains(engine& state, const peer& one, instant now) {
   constexpr milliseconds kMinDelay{500};
-  if (end - state.unknown_claims_end < kMinDelay) {
+  if (one.claims_end - state.known_claims_end < kMinDelay) {
     return;
   }
   log_line line("witness_abstains");
@@ -127,21 +126,21 @@
       .With("started_ms",
             std::chrono::floor<milliseconds>(now - state.started).count())
       .With("claims_end_ms",
-            std::chrono::floor<milliseconds>(end - now).count());
+            std::chrono::floor<milliseconds>(one.claims_end - now).count());
   AddLogLine(state, line, true);
 }
 
 /// Takes what a heartbeat tells of the witnesses and their claims.
-void NoteWitnesses(engine& state, const peer& one, const heartbeat& received,
+void NoteWitnesses(engine& state, peer& one, const heartbeat& received,
                    instant sent, instant now) {
-  if (now - state.started < state.options.claim_memory) {
+  if (!one.claims_told && received.claims_end_in.count() > 0) {
     // They include those that it had granted with the process before this one.
-    const instant end = now + received.claims_end_in;
-    if (end > std::max(state.unknown_claims_end,
-                       state.started + state.options.claim_memory)) {
-      LogWitnessAbstains(state, one, end, now);
+    one.claims_end = now + received.claims_end_in;
+    if (one.claims_end > std::max(state.known_claims_end,
+                                  state.started + state.options.claim_memory)) {
+      LogWitnessAbstains(state, one, now);
     }
-    state.unknown_claims_end = std::max(state.unknown_claims_end, end);
+    state.known_claims_end = std::max(state.known_claims_end, one.claims_end);
   }
   const uint64_t known = state.witnesses.list.version;
   if (received.witness_version == known && known != 0) {
@@ -265,6 +264,10 @@
     if (one.identity.name == newer.name && incarnation < newer.incarnation) {
       MarkSilent(state, one, "restarted", now);
       one.superseded = true;
+      if (!one.claims_told) {
+        state.untold_claims_end =
+            std::max(state.untold_claims_end, one.claims_end);
+      }
       one.claims.clear();
       if (one.contact && one.ever_heard) {
         EndClaimsOf(state, incarnation, now);
--- a/packages/fleet/src/witness_list_cmd.cc
+++ b/packages/fleet/src/witness_list_cmd.cc
@@ -206,12 +206,20 @@
   if (state.witnesses.was_absent || KnowsAllClaims(state, now)) {
     return true;
   }
-  // Peers tell of claims that last longer.
   const milliseconds memory =
       HeardMostWitnesses(state)
           ? state.options.claim_memory
           : state.options.max_caller_timeout + state.options.orphan_limit;
-  return now >= std::max(state.started + memory, state.unknown_claims_end);
+  if (now < std::max(state.started + memory, state.untold_claims_end)) {
+    return false;
+  }
+  // Peers tell claims that last longer.
+  return now >= state.known_claims_end ||
+         std::none_of(state.peers.begin(), state.peers.end(),
+                      [now](const auto& entry) {
+                        return !entry.second.claims_told &&
+                               now < entry.second.claims_end;
+                      });
 }
 
 void NoteRowUnanswered(engine& state, instant asked, instant now) {
--- a/packages/fleet/test/relay_test.cc
+++ b/packages/fleet/test/relay_test.cc
@@ -183,6 +183,69 @@
   CHECK(ClaimsEndIn(state, state.peers.at(kFar), now) == 0ms);
 }
 
+/// Another process of a peer.
+entry_identity Restarted(uint64_t peer) {
+  entry_identity next = relay_fixture::IdentityOf(peer);
+  next.incarnation += 10;
+  return next;
+}
+
+TEST_CASE_METHOD(relay_fixture,
+                 "a restarted witness did not know what the other one had "
+                 "granted") {
+  const std::string job = JobOf(kSelf);
+  Wait(state.options.claim_memory);
+  OnJobClaim(state, kOrigin,
+             {.job = job,
+              .request = kRequest,
+              .timeout = kTimeout,
+              .valid_for = 30'000ms},
+             now);
+  const entry_identity restarted = Restarted(kFar);
+  OnEnvelope(state,
+             {.from = restarted.incarnation,
+              .to = kSelf,
+              .stream = 1,
+              .messages = {heartbeat{.from = restarted,
+                                     .interval = 300ms,
+                                     .is_candidate = true,
+                                     .decides_claims = true}}},
+             now);
+  now += 100ms;
+  Tick(state, now);
+  Wait(200ms);
+  const auto told = LastSent<job_claim>(restarted.incarnation);
+  REQUIRE(told);
+  CHECK(told->job == job);
+  CHECK(AttemptOf(*told) == kAttempt);
+  CHECK(told->running);
+}
+
+TEST_CASE_METHOD(relay_fixture,
+                 "a restarted witness waited for the end of claims that it had "
+                 "been told") {
+  state.witnesses.was_absent = false;
+  const auto hear = [this](bool claims_told) {
+    OnEnvelope(state,
+               {.from = kFar,
+                .to = kSelf,
+                .stream = 1,
+                .heard_stream = 1,
+                .claims_told = claims_told,
+                .messages = {heartbeat{.from = IdentityOf(kFar),
+                                       .interval = 300ms,
+                                       .is_candidate = true,
+                                       .decides_claims = true,
+                                       .claims_end_in = 30'000ms}}},
+               now);
+  };
+  hear(false);
+  now = state.started + state.options.claim_memory + 100ms;
+  CHECK_FALSE(DecidesClaims(state, now));
+  hear(true);
+  CHECK(DecidesClaims(state, now));
+}
+
 TEST_CASE_METHOD(relay_fixture, "a relayed claim stayed after its job's end") {
   const std::string job = JobOf(kNear);
   Claim(job);
