fleet: leaving witnesses go on relaying claims where only one other is left

Cause: the entries of a data centre relay through its witnesses, but not through those that are leaving. With one left, that one gets all claims, and its rows and answers come too late; callers come again, and the load feeds itself.

Ruled out: relaying through others than witnesses of the data centre: once it is cut off, its witnesses have to know its claims.

Change: a witness that is leaving still relays where only one other would.

--- a/packages/fleet/src/arbiter_list_cmd.cc
+++ b/packages/fleet/src/arbiter_list_cmd.cc
@@ -45,18 +45,27 @@
 std::vector<controller_candidate> ListRelays(
     const engine& state, const std::vector<uint64_t>& excluded) {
   std::vector<controller_candidate> witnesses;
+  std::vector<controller_candidate> leaving;
   std::vector<controller_candidate> near;
   std::vector<controller_candidate> far;
   for (const auto& [incarnation, one] : state.peers) {
     const bool is_excluded = std::find(excluded.begin(), excluded.end(),
                                        incarnation) != excluded.end();
-    if (MayArbitrate(one) && !one.leaving && !is_excluded) {
-      const bool is_near = one.identity.data_centre == state.self.data_centre;
-      (is_near ? near : far).push_back(MakeCandidate(state, one.identity));
-      if (is_near && IsListedWitness(state, one.identity.name)) {
-        witnesses.push_back(near.back());
-      }
+    if (!MayArbitrate(one) || is_excluded) {
+      continue;
     }
+    const controller_candidate candidate = MakeCandidate(state, one.identity);
+    const bool is_near = one.identity.data_centre == state.self.data_centre;
+    if (is_near && IsListedWitness(state, one.identity.name)) {
+      (one.leaving ? leaving : witnesses).push_back(candidate);
+    }
+    if (!one.leaving) {
+      (is_near ? near : far).push_back(candidate);
+    }
+  }
+  if (witnesses.size() == 1) {
+    // One alone cannot relay the claims of all entries of its data centre.
+    witnesses.insert(witnesses.end(), leaving.begin(), leaving.end());
   }
   if (!witnesses.empty()) {
     return witnesses;
--- a/packages/fleet/test/arbiter_list_test.cc
+++ b/packages/fleet/test/arbiter_list_test.cc
@@ -144,6 +144,31 @@
   CHECK(IsRelay(kPeer));
 }
 
+TEST_CASE_METHOD(arbiter_list_fixture,
+                 "all entries claimed through the last witness of their data "
+                 "centre while the others were being restarted") {
+  constexpr uint64_t kOther = 3;
+  const auto add = [this](uint64_t incarnation) {
+    const entry_identity other = IdentityOf(incarnation);
+    state.witnesses.list.witnesses.push_back({.name = other.name,
+                                              .data_centre = other.data_centre,
+                                              .cpu_milli = other.cpu_milli});
+    peer& one = state.peers[incarnation];
+    one.identity = other;
+    one.silent = false;
+    one.contact = true;
+    one.announced_candidate = true;
+    one.decides_claims = true;
+  };
+  Hear();
+  add(kOther);
+  state.peers.at(kOther).leaving = true;
+  CHECK(IsRelay(kPeer));
+  CHECK(IsRelay(kOther));
+  add(kOther + 1);
+  CHECK_FALSE(IsRelay(kOther));
+}
+
 TEST_CASE_METHOD(arbiter_list_fixture,
                  "claims came late to a witness that was heard again") {
   Deliver(delivery::kDelivered);
