gate: what clients make a process hold has one limit

What callers saw: clients that send large, unfinished or endless bodies ended a process for want of memory, and clients that send nothing kept all others out.

Cause: each limit (1 MB a body, 2,000 connections, 75 s of silence) was one of a single request or connection; their product is 2 GB. The configuration's smaller body limit was looked at when all had arrived, clear() kept the memory of a body that was too large, and a byte now and then renewed the time.

Ruled out: memory of headers (29 MB of 96 with 400 clients), of responses.

Change: the bytes of all requests that are not answered are counted as they arrive, also before a configuration is known, and have one limit, an eighth of the machine's memory. Beyond it those that have been unfinished for longest are closed, or the new one is refused as not run with Retry-After. A body is read up to twice its limit; one announced as larger is answered 413 at once. A body has 30 s. Near the limit of connections, which is half of the descriptors at most, the one unfinished or idle for longest gives way, also at readiness and metrics. One whose request is served never does.

--- a/packages/daemon/src/fleet_process.cc
+++ b/packages/daemon/src/fleet_process.cc
@@ -2,6 +2,7 @@
 
 #include <curl/curl.h>
 
+#include <algorithm>
 #include <csignal>
 #include <cstdlib>
 #include <fstream>
@@ -167,9 +168,7 @@
   }
   metrics_page_ = std::move(metrics_page).value();
   auto callers = held_http_server::Start(
-      {.address = settings_.callers,
-       .extra_header = platform::kPatienceHeader,
-       .now = Now},
+      MakeCallerOptions(),
       [this](const held_request& request) { OnRequest(request); });
   if (!callers) {
     return log_listen_failure("callers", settings_.callers);
@@ -183,6 +182,30 @@
   return true;
 }
 
+held_http_options fleet_process::MakeCallerOptions() const {
+  held_http_options options{.address = settings_.callers,
+                            .extra_header = platform::kPatienceHeader,
+                            .now = Now};
+  // The other half is for workers, peers and the store.
+  constexpr uint32_t kConnectionShare = 2;
+  if (settings_.max_descriptors > 0) {
+    options.most_connections = std::min(
+        options.most_connections, settings_.max_descriptors / kConnectionShare);
+  }
+  // A request takes several times its size while it is parsed.
+  constexpr size_t kMemoryShare = 8;
+  if (settings_.memory_mb > 0) {
+    options.max_request_bytes =
+        std::max(options.max_body_bytes,
+                 (size_t{settings_.memory_mb} << 20U) / kMemoryShare);
+  }
+  options.body_limit = [this, most = options.max_body_bytes] {
+    const auto known = operator_watch_->Config();
+    return known == nullptr ? most : known->config.max_body_bytes;
+  };
+  return options;
+}
+
 void fleet_process::MakeFollowers() {
   const auto run = [this](engine_step work) { Post(std::move(work)); };
   operator_http_ = MakeBlockingClient({});
@@ -270,6 +293,7 @@
   entry_follower_->Tick(now);
   witness_follower_->Tick(now);
   CheckSettingsFile(now);
+  CloseOverdueRequests(now);
   AnswerEarlyRequests(now);
   ConfirmEvacuationRows(now);
   if (joined_.load() == 0) {
@@ -371,6 +395,14 @@
   }
 }
 
+void fleet_process::CloseOverdueRequests(instant now) {
+  constexpr milliseconds kInterval{1'000};
+  if (now >= next_overdue_check_) {
+    next_overdue_check_ = now + kInterval;
+    callers_->CloseOverdue();
+  }
+}
+
 void fleet_process::RemoveDisconnectedCallers(instant now) {
   if (now < next_disconnect_check_) {
     return;
--- a/packages/daemon/src/fleet_process.h
+++ b/packages/daemon/src/fleet_process.h
@@ -76,9 +76,11 @@
   void Loop();
   void TickAll(instant now);
   void JoinOnceNumbered(instant now);
+  held_http_options MakeCallerOptions() const;
   void MakeFollowers();
   void AnswerEarlyRequests(instant now);
   void RemoveDisconnectedCallers(instant now);
+  void CloseOverdueRequests(instant now);
   void CheckSettingsFile(instant now);
   void ApplySettings(const std::string& cause);
   bool IsStopComplete(instant now);
@@ -135,6 +137,7 @@
   instant next_tick_;
   instant next_disconnect_check_;
   instant next_settings_check_;
+  instant next_overdue_check_;
   log_limiter limiter_;
   fleet_metrics metrics_;
 
--- a/packages/daemon/src/fleet_process_io.cc
+++ b/packages/daemon/src/fleet_process_io.cc
@@ -40,6 +40,10 @@
                                  PromisesNotRun(code) ? kRefusalRetryAfter
                                                       : milliseconds{0}));
   };
+  if (request.no_room) {
+    refuse(result_code::kNotRunOverloaded);
+    return;
+  }
   const std::shared_ptr<const known_config> known = operator_watch_->Config();
   if (known == nullptr && accepts_early_requests_.load()) {
     Post([this, request](instant) { early_requests_.push_back(request); });
--- a/packages/gate/include/tarragondrift/gate/held_http_server.h
+++ b/packages/gate/include/tarragondrift/gate/held_http_server.h
@@ -28,8 +28,10 @@
   /// Value of the header that `held_http_options::extra_header` names.
   std::string extra;
   std::string body;
-  /// Whether the body exceeded `max_body_bytes` and was discarded.
+  /// Whether the body exceeded the limit and was discarded.
   bool too_large = false;
+  /// Whether the body was discarded as there was no memory for it.
+  bool no_room = false;
   /// When its connection was opened, its headers were read and its body was
   /// complete, by `held_http_options::now`.
   instant connected;
@@ -41,9 +43,19 @@
 struct held_http_options {
   /// Listen address, "IP:port".
   std::string address;
+  /// When there are so many, those whose request has been unfinished for
+  /// longest are closed for new ones.
   uint32_t most_connections = 2'000;
   size_t max_body_bytes = 1U << 20U;
+  /// Returns a limit below `max_body_bytes` that may change; thread-safe. Unset
+  /// for none.
+  std::function<size_t()> body_limit;
+  /// Limit of the bytes of all requests that are not answered. When they are
+  /// used up, the requests that have been unfinished for longest are closed.
+  size_t max_request_bytes = 32U << 20U;
   std::chrono::seconds idle_timeout{75};
+  /// Time for a body after its headers. No caller waits for longer.
+  std::chrono::seconds request_timeout{30};
   /// A header whose value is passed on with each request.
   std::string extra_header;
   /// The clock of a request's times; thread-safe.
@@ -70,6 +82,9 @@
   /// They stay held, and are returned again, until Respond is called for them.
   virtual std::vector<uint64_t> TakeLeft() = 0;
 
+  /// Closes connections whose request is unfinished for too long.
+  virtual void CloseOverdue() = 0;
+
   /// Whether a request's caller has closed its connection; also true when the
   /// request is no longer held.
   virtual bool HasLeft(uint64_t number) const = 0;
--- a/packages/gate/src/held_http_server.cc
+++ b/packages/gate/src/held_http_server.cc
@@ -5,13 +5,16 @@
 #include <poll.h>
 #include <unistd.h>
 
+#include <algorithm>
 #include <array>
 #include <atomic>
+#include <cstdlib>
 #include <map>
 #include <mutex>
 #include <optional>
 #include <utility>
 
+#include "connection_table.h"
 #include "tarragondrift/gate/address.h"
 
 namespace tarragondrift {
@@ -23,8 +26,22 @@
   held_request request;
   bool dispatched = false;
   std::optional<server_response> response;
+  size_t body_limit = 0;
+  /// Bytes that have arrived, kept or not.
+  size_t body_size = 0;
 };
 
+/// Memory of a connection for headers and the piece of a body that is read.
+/// Callers' headers have less than a kilobyte.
+constexpr size_t kConnectionMemory = size_t{16} << 10U;
+
+/// Returns the announced length of a body, 0 if there is none.
+uint64_t AnnouncedLength(MHD_Connection* connection) {
+  const char* const length = MHD_lookup_connection_value(
+      connection, MHD_HEADER_KIND, MHD_HTTP_HEADER_CONTENT_LENGTH);
+  return length == nullptr ? 0 : std::strtoull(length, nullptr, 10);
+}
+
 std::string HostWithoutPort(const char* host) {
   std::string text = host == nullptr ? "" : host;
   const size_t colon = text.find(':');
@@ -37,7 +54,15 @@
 class mhd_held_server : public held_http_server {
  public:
   mhd_held_server(held_http_options options, held_handler handler)
-      : options_(std::move(options)), handler_(std::move(handler)) {}
+      : options_(std::move(options)), handler_(std::move(handler)) {
+    // Some more are accepted, so that new callers do not wait until those that
+    // give way are closed.
+    constexpr uint32_t kReserveShare = 8;
+    connections_.max_connections =
+        std::max(1U, options_.most_connections -
+                         options_.most_connections / kReserveShare);
+    connections_.max_bytes = options_.max_request_bytes;
+  }
   mhd_held_server(const mhd_held_server&) = delete;
   mhd_held_server& operator=(const mhd_held_server&) = delete;
 
@@ -63,6 +88,7 @@
         &OnCompleted, this, MHD_OPTION_NOTIFY_CONNECTION, &OnConnection, this,
         MHD_OPTION_CONNECTION_LIMIT,
         static_cast<unsigned int>(options_.most_connections),
+        MHD_OPTION_CONNECTION_MEMORY_LIMIT, kConnectionMemory,
         MHD_OPTION_CONNECTION_TIMEOUT,
         static_cast<unsigned int>(options_.idle_timeout.count()),
         MHD_OPTION_LISTEN_BACKLOG_SIZE, kListenBacklog,
@@ -105,6 +131,11 @@
     return left;
   }
 
+  void CloseOverdue() override {
+    tarragondrift::CloseOverdue(connections_, options_.request_timeout,
+                                options_.idle_timeout, options_.now());
+  }
+
   bool HasLeft(uint64_t number) const override {
     const std::scoped_lock lock(mutex_);
     const auto at = held_.find(number);
@@ -135,9 +166,13 @@
   /// Returns the poll descriptor of a request's connection; fd is -1, which
   /// poll ignores, if the connection has no socket.
   static pollfd PollDescriptor(const exchange& one) {
-    const MHD_ConnectionInfo* const info = MHD_get_connection_info(
-        one.connection, MHD_CONNECTION_INFO_CONNECTION_FD);
-    return {.fd = info == nullptr ? -1 : info->connect_fd, .events = POLLRDHUP};
+    return {.fd = SocketOf(one.connection), .events = POLLRDHUP};
+  }
+
+  static int SocketOf(MHD_Connection* connection) {
+    const MHD_ConnectionInfo* const info =
+        MHD_get_connection_info(connection, MHD_CONNECTION_INFO_CONNECTION_FD);
+    return info == nullptr ? -1 : info->connect_fd;
   }
 
   static bool IsClosed(const pollfd& socket) {
@@ -158,12 +193,16 @@
     *context = nullptr;
   }
 
-  static void OnConnection(void* self, MHD_Connection* /*connection*/,
+  static void OnConnection(void* self, MHD_Connection* connection,
                            void** context, MHD_ConnectionNotificationCode how) {
+    auto* const server = static_cast<mhd_held_server*>(self);
     if (how == MHD_CONNECTION_NOTIFY_STARTED) {
-      const auto* const server = static_cast<mhd_held_server*>(self);
-      *context = new instant(server->options_.now());
+      const instant now = server->options_.now();
+      *context = new instant(now);
+      AddConnection(server->connections_, connection, SocketOf(connection),
+                    now);
     } else {
+      RemoveConnection(server->connections_, connection);
       delete static_cast<instant*>(*context);
       *context = nullptr;
     }
@@ -182,14 +221,20 @@
                     const char* method, const char* upload, size_t& upload_size,
                     void*& context) {
     if (context == nullptr) {
-      context = Begin(connection, url, method);
+      exchange* const begun = Begin(connection, url, method);
+      context = begun;
+      if (AnnouncedLength(connection) > 2 * begun->body_limit) {
+        // It is answered at once, and its body is not read.
+        begun->request.too_large = true;
+        Dispatch(*begun);
+      }
       return MHD_YES;
     }
     auto* const one = static_cast<exchange*>(context);
     if (upload_size > 0) {
-      AppendBody(*one, upload, upload_size);
+      const bool goes_on = TakePiece(*one, upload, upload_size);
       upload_size = 0;
-      return MHD_YES;
+      return goes_on ? MHD_YES : MHD_NO;
     }
     if (!one->dispatched) {
       Dispatch(*one);
@@ -211,18 +256,32 @@
     const char* const extra = MHD_lookup_connection_value(
         connection, MHD_HEADER_KIND, options_.extra_header.c_str());
     made->request.extra = extra == nullptr ? "" : extra;
+    made->body_limit = options_.max_body_bytes;
+    if (options_.body_limit) {
+      made->body_limit = std::min(made->body_limit, options_.body_limit());
+    }
+    BeginRequest(connections_, connection, made->request.begun);
     unsent_.fetch_add(1);
     return made.release();
   }
 
-  void AppendBody(exchange& one, const char* upload, size_t size) const {
-    if (one.request.body.size() + size > options_.max_body_bytes) {
+  /// Stores a piece of a body, or discards it if the body is too large.
+  /// @return false if the connection is to be closed.
+  bool TakePiece(exchange& one, const char* upload, size_t size) {
+    one.body_size += size;
+    if (one.body_size > one.body_limit) {
       one.request.too_large = true;
-      one.request.body.clear();
+      DropBody(connections_, one.connection);
+      // So much is read that a caller gets the answer; no body is without end.
+      return one.body_size <= 2 * one.body_limit;
     }
-    if (!one.request.too_large) {
-      one.request.body.append(upload, size);
+    if (one.request.no_room) {
+      return true;
     }
+    const body_outcome outcome =
+        AppendBody(connections_, one.connection, upload, size);
+    one.request.no_room = outcome == body_outcome::kNoRoom;
+    return outcome != body_outcome::kClosing;
   }
 
   /// Suspends the connection and passes the request to the handler.
@@ -234,6 +293,8 @@
       one.request.number = ++last_number_;
       request = std::move(one.request);
       request.received = options_.now();
+      request.body =
+          BeginServing(connections_, one.connection, request.received);
       one.request.number = request.number;
       held_[request.number] = &one;
       MHD_suspend_connection(one.connection);
@@ -277,6 +338,7 @@
       const std::scoped_lock lock(mutex_);
       held_.erase(one->request.number);
     }
+    EndServing(connections_, one->connection, options_.now());
     delete one;
     unsent_.fetch_sub(1);
   }
@@ -295,6 +357,7 @@
   held_handler handler_;
   sockaddr_in address_{};
   MHD_Daemon* daemon_ = nullptr;
+  connection_table connections_;
   mutable std::mutex mutex_;
   uint64_t last_number_ = 0;
   std::map<uint64_t, exchange*> held_;
--- a/packages/gate/src/http_server.cc
+++ b/packages/gate/src/http_server.cc
@@ -3,11 +3,13 @@
 // ulfius.h uses types that <sys/socket.h> declares.
 #include <ulfius.h>
 
+#include <algorithm>
 #include <array>
 #include <atomic>
 #include <exception>
 #include <utility>
 
+#include "connection_table.h"
 #include "tarragondrift/gate/address.h"
 
 namespace tarragondrift {
@@ -21,7 +23,14 @@
 class ulfius_server : public http_server {
  public:
   ulfius_server(const http_server_options& options, server_handler handler)
-      : options_(options), handler_(std::move(handler)) {}
+      : options_(options), handler_(std::move(handler)) {
+    // Some more are accepted, so that new callers do not wait until those that
+    // give way are closed.
+    constexpr uint32_t kReserveShare = 4;
+    connections_.max_connections =
+        std::max(1U, options_.most_connections -
+                         options_.most_connections / kReserveShare);
+  }
   ulfius_server(const ulfius_server&) = delete;
   ulfius_server& operator=(const ulfius_server&) = delete;
 
@@ -69,7 +78,10 @@
     constexpr unsigned int kFlags = MHD_USE_THREAD_PER_CONNECTION |
                                     MHD_USE_INTERNAL_POLLING_THREAD |
                                     MHD_USE_POLL | MHD_USE_ITC;
-    std::array<MHD_OptionItem, 8> items{{
+    std::array<MHD_OptionItem, 9> items{{
+        {MHD_OPTION_NOTIFY_CONNECTION,
+         reinterpret_cast<intptr_t>(&OnConnection),  // NOLINT: C API
+         this},
         {MHD_OPTION_NOTIFY_COMPLETED,
          reinterpret_cast<intptr_t>(&OnCompleted),  // NOLINT: C API
          this},
@@ -92,10 +104,27 @@
     return outcome::success();
   }
 
+  static void OnConnection(void* self, MHD_Connection* connection,
+                           void** /*context*/,
+                           MHD_ConnectionNotificationCode how) {
+    auto* const server = static_cast<ulfius_server*>(self);
+    if (how == MHD_CONNECTION_NOTIFY_STARTED) {
+      const MHD_ConnectionInfo* const info = MHD_get_connection_info(
+          connection, MHD_CONNECTION_INFO_CONNECTION_FD);
+      AddConnection(server->connections_, connection,
+                    info == nullptr ? -1 : info->connect_fd, {});
+    } else {
+      RemoveConnection(server->connections_, connection);
+    }
+  }
+
   /// Called when the request line has been read.
   static void* OnBegin(void* self, const char* uri,
-                       MHD_Connection* /*connection*/) {
-    static_cast<ulfius_server*>(self)->active_.fetch_add(1);
+                       MHD_Connection* connection) {
+    auto* const server = static_cast<ulfius_server*>(self);
+    server->active_.fetch_add(1);
+    BeginRequest(server->connections_, connection, {});
+    served_connection = connection;
     return ulfius_uri_logger(nullptr, uri);
   }
 
@@ -103,7 +132,9 @@
   static void OnCompleted(void* self, MHD_Connection* connection,
                           void** request, MHD_RequestTerminationCode how) {
     mhd_request_completed(nullptr, connection, request, how);
-    static_cast<ulfius_server*>(self)->active_.fetch_sub(1);
+    auto* const server = static_cast<ulfius_server*>(self);
+    EndServing(server->connections_, connection, {});
+    server->active_.fetch_sub(1);
   }
 
   static int Serve(const _u_request* request, _u_response* response,
@@ -113,6 +144,7 @@
   }
 
   void Answer(const _u_request& request, _u_response& response) {
+    BeginServing(connections_, served_connection, {});
     server_response answer;
     try {
       answer = handler_(ToRequest(request));
@@ -143,14 +175,21 @@
             }};
   }
 
+  /// The connection whose request the calling thread reads or serves; each
+  /// connection has a thread of its own.
+  static thread_local const MHD_Connection* served_connection;
+
   http_server_options options_;
   server_handler handler_;
+  connection_table connections_;
   sockaddr_in address_{};
   _u_instance instance_{};
   bool initialised_ = false;
   std::atomic<size_t> active_{0};
 };
 
+thread_local const MHD_Connection* ulfius_server::served_connection = nullptr;
+
 }  // namespace
 
 result<std::unique_ptr<http_server>> http_server::Start(
