--- a/packages/bench/fleet/tests.cmake
+++ b/packages/bench/fleet/tests.cmake
@@ -16,7 +16,7 @@
                      --expect-caught)
   endforeach()
   add_test(NAME fleet_catches_no_message_age
-           COMMAND bench_fleet --seeds 400 --threads 2 --mutation no_message_age
+           COMMAND bench_fleet --seeds 1000 --threads 2 --mutation no_message_age
                    --expect-caught)
   add_test(NAME fleet_catches_no_job_claims
            COMMAND bench_fleet --seeds 50 --threads 2 --mutation no_job_claims
