fleet: ticks look at the workers that an entry controls, not at all listed

Cause: each entry looked at all 1,100 listed workers several times in each tick of 20 ms (leases, readiness, whether the list is needed, the metrics), also entries that control none; candidates computed the controller of each worker anew every 100 ms.

Ruled out: a change of decisions.

Change: the workers that ticks concern (controlled, with runs, or no longer listed) are kept in a map of their own. The controller of a worker is computed when the controllers of a data centre change. The page of metrics is updated every 500 ms instead of every 20.

--- a/packages/daemon/src/fleet_process.cc
+++ b/packages/daemon/src/fleet_process.cc
@@ -30,6 +30,8 @@
 constexpr milliseconds kTickInterval{20};
 /// Interval between checks for disconnected callers.
 constexpr milliseconds kDisconnectCheckInterval{40};
+/// Interval at which the figures on the metrics page are updated.
+constexpr milliseconds kMetricsInterval{500};
 /// Interval between checks of the settings file for changes.
 constexpr milliseconds kSettingsInterval{1'000};
 /// A load balancer that checks readiness each second stops sending after two
@@ -312,9 +314,12 @@
   FollowWitnessList(now);
   fleet::Tick(engine_, now);
   ready_.store(!stop_started_ && fleet::IsReady(engine_, now));
-  fleet_snapshot snapshot = SnapshotOf(engine_, now);
-  snapshot.log_lines_dropped = limiter_.Dropped();
-  metrics_.Update(snapshot);
+  if (now >= next_metrics_) {
+    next_metrics_ = now + kMetricsInterval;
+    fleet_snapshot snapshot = SnapshotOf(engine_, now);
+    snapshot.log_lines_dropped = limiter_.Dropped();
+    metrics_.Update(snapshot);
+  }
 }
 
 void fleet_process::OnWitnessRow(const fleet::row_change& row) {
--- a/packages/daemon/src/fleet_process.h
+++ b/packages/daemon/src/fleet_process.h
@@ -137,6 +137,7 @@
   instant next_tick_;
   instant next_disconnect_check_;
   instant next_settings_check_;
+  instant next_metrics_;
   instant next_overdue_check_;
   log_limiter limiter_;
   fleet_metrics metrics_;
--- a/packages/fleet/include/tarragondrift/fleet/engine_base.h
+++ b/packages/fleet/include/tarragondrift/fleet/engine_base.h
@@ -25,6 +25,7 @@
 #include "tarragondrift/fleet/evacuation_base.h"
 #include "tarragondrift/fleet/fleet_options_base.h"
 #include "tarragondrift/fleet/job_base.h"
+#include "tarragondrift/fleet/ownership_cmd.h"
 #include "tarragondrift/fleet/peer_base.h"
 #include "tarragondrift/fleet/queue_config_base.h"
 #include "tarragondrift/fleet/resubmission_cmd.h"
@@ -270,7 +271,7 @@
 /// an argument.
 struct engine {
   engine() = default;
-  // `held_workers` points into `workers`.
+  // `held_workers` and `ticked_workers` point into `workers`.
   engine(const engine&) = delete;
   engine& operator=(const engine&) = delete;
   engine(engine&&) = default;
@@ -295,6 +296,11 @@
   std::map<std::string, worker> workers;
   /// Those that this entry holds, by id. It may hold few of those listed.
   std::vector<worker*> held_workers;
+  /// Those that TickWorkers looks at, by id: all that this entry controls or
+  /// probes, that have runs, or that were removed from the list.
+  std::map<std::string, worker*> ticked_workers;
+  /// Controllers by data centre, for which `worker::assigned` is valid.
+  std::map<std::string, std::vector<controller_candidate>> controllers;
   std::map<uint64_t, peer> peers;
   /// The list of entries was read since this process started.
   bool peers_listed = false;
--- a/packages/fleet/include/tarragondrift/fleet/ownership_cmd.h
+++ b/packages/fleet/include/tarragondrift/fleet/ownership_cmd.h
@@ -17,6 +17,8 @@
   std::string data_centre;
   /// Number of workers that it can control beside its other work.
   size_t worker_capacity = 1;
+
+  bool operator==(const controller_candidate&) const = default;
 };
 
 /// Returns the controllers for one data centre's workers: the fewest local
--- a/packages/fleet/include/tarragondrift/fleet/worker_base.h
+++ b/packages/fleet/include/tarragondrift/fleet/worker_base.h
@@ -114,6 +114,9 @@
   bool told_by_peer = false;
 
   control_phase phase = control_phase::kNotControlled;
+  /// Incarnation of the entry that is to control it, 0 if there is none; unset
+  /// until it is computed. Valid for `engine::controllers`.
+  std::optional<uint64_t> assigned;
   /// Number sent with each order; a worker rejects orders whose fence is below
   /// the highest it has seen.
   uint64_t fence = 0;
--- a/packages/fleet/src/contact_cmd.cc
+++ b/packages/fleet/src/contact_cmd.cc
@@ -241,8 +241,8 @@
 bool NeedsWorkerList(const engine& state) {
   return state.candidate ||
          std::any_of(
-             state.workers.begin(), state.workers.end(),
-             [](const auto& entry) { return IsControlled(entry.second); });
+             state.ticked_workers.begin(), state.ticked_workers.end(),
+             [](const auto& entry) { return IsControlled(*entry.second); });
 }
 
 }  // namespace tarragondrift::fleet
--- a/packages/fleet/src/engine_cmd.cc
+++ b/packages/fleet/src/engine_cmd.cc
@@ -101,19 +101,15 @@
   return state.leaving && state.jobs.empty() && state.held_jobs.empty() &&
          state.claiming_jobs.empty() && state.parts.size() == 0 &&
          std::none_of(
-             state.workers.begin(), state.workers.end(),
-             [](const auto& entry) { return IsControlled(entry.second); });
+             state.ticked_workers.begin(), state.ticked_workers.end(),
+             [](const auto& entry) { return IsControlled(*entry.second); });
 }
 
 bool IsReady(const engine& state, instant now) {
   if (state.leaving || !state.config || !ReachesWitnesses(state, now)) {
     return false;
   }
-  const bool holds_worker = std::any_of(
-      state.workers.begin(), state.workers.end(), [](const auto& entry) {
-        return entry.second.phase == control_phase::kHeld;
-      });
-  return holds_worker ||
+  return !state.held_workers.empty() ||
          std::any_of(state.peers.begin(), state.peers.end(),
                      [&](const auto& entry) {
                        // A fleet that is evacuated as a whole refuses callers,
--- a/packages/fleet/src/peer_cmd.cc
+++ b/packages/fleet/src/peer_cmd.cc
@@ -21,11 +21,11 @@
 
 std::vector<worker_claim> ListClaims(const engine& state) {
   std::vector<worker_claim> claims;
-  for (const auto& [id, one] : state.workers) {
-    if (IsControlled(one)) {
+  for (const auto& [id, one] : state.ticked_workers) {
+    if (IsControlled(*one)) {
       claims.push_back({.worker = id,
-                        .fence = one.fence,
-                        .acquiring = one.phase == control_phase::kAcquiring});
+                        .fence = one->fence,
+                        .acquiring = one->phase == control_phase::kAcquiring});
     }
   }
   return claims;
--- a/packages/fleet/src/placement_cmd.cc
+++ b/packages/fleet/src/placement_cmd.cc
@@ -71,13 +71,12 @@
   const double left =
       std::chrono::duration<double, std::milli>(owner.deadline - now).count();
   const double max_slowness = left / static_cast<double>(expected.count());
-  const bool any_fast_enough = std::any_of(
-      state.workers.begin(), state.workers.end(),
-      [&state, max_slowness](const auto& entry) {
-        return entry.second.phase == control_phase::kHeld &&
-               !IsEvacuated(state, entry.second.listing.data_centre) &&
-               entry.second.slowness <= max_slowness;
-      });
+  const bool any_fast_enough =
+      std::any_of(state.held_workers.begin(), state.held_workers.end(),
+                  [&state, max_slowness](const worker* one) {
+                    return !IsEvacuated(state, one->listing.data_centre) &&
+                           one->slowness <= max_slowness;
+                  });
   return any_fast_enough ? max_slowness : std::numeric_limits<double>::max();
 }
 
--- a/packages/fleet/src/progress_cmd.cc
+++ b/packages/fleet/src/progress_cmd.cc
@@ -31,17 +31,18 @@
 bool HasFasterWorker(const engine& state, const worker& current,
                      const part& owner, const task& one, double max_slowness,
                      instant now) {
-  return std::any_of(
-      state.workers.begin(), state.workers.end(), [&](const auto& entry) {
-        const worker& other = entry.second;
-        return other.slowness <= max_slowness &&
-               (other.slowness < current.slowness ||
-                now < current.suspect_until) &&
-               other.listing.id != current.listing.id &&
-               other.listing.upstream == owner.upstream &&
-               AcceptsSharedStarts(state, other, now) &&
-               Fits(owner.job.steps[one.step].need, FreeCapacity(other));
-      });
+  return std::any_of(state.held_workers.begin(), state.held_workers.end(),
+                     [&](const worker* held) {
+                       const worker& other = *held;
+                       return other.slowness <= max_slowness &&
+                              (other.slowness < current.slowness ||
+                               now < current.suspect_until) &&
+                              other.listing.id != current.listing.id &&
+                              other.listing.upstream == owner.upstream &&
+                              AcceptsSharedStarts(state, other, now) &&
+                              Fits(owner.job.steps[one.step].need,
+                                   FreeCapacity(other));
+                     });
 }
 
 /// Whether a run is far slower than expected, as a fault of its worker.
--- a/packages/fleet/src/return_cmd.cc
+++ b/packages/fleet/src/return_cmd.cc
@@ -102,12 +102,10 @@
 /// Whether workers of an upstream that are held here are out of service because
 /// of an evacuation.
 bool HasEvacuatedWorkers(const engine& state, const std::string& upstream) {
-  return std::any_of(state.workers.begin(), state.workers.end(),
-                     [&](const auto& entry) {
-                       const worker& one = entry.second;
-                       return one.phase == control_phase::kHeld &&
-                              one.listing.upstream == upstream &&
-                              IsEvacuated(state, one.listing.data_centre);
+  return std::any_of(state.held_workers.begin(), state.held_workers.end(),
+                     [&](const worker* one) {
+                       return one->listing.upstream == upstream &&
+                              IsEvacuated(state, one->listing.data_centre);
                      });
 }
 
--- a/packages/fleet/src/worker_cmd.cc
+++ b/packages/fleet/src/worker_cmd.cc
@@ -138,8 +138,12 @@
   }
 }
 
-/// Changes the phase of a worker, and the list of those that are held.
+/// Changes the phase of a worker, and the lists of those that are held and
+/// ticked.
 void EnterPhase(engine& state, worker& one, control_phase phase) {
+  if (phase != control_phase::kNotControlled) {
+    state.ticked_workers[one.listing.id] = &one;
+  }
   const auto at = std::lower_bound(
       state.held_workers.begin(), state.held_workers.end(), one.listing.id,
       [](const worker* other, const std::string& id) {
@@ -355,12 +359,12 @@
 
 /// Returns how many more workers may begin a handover.
 size_t ReleaseBudget(const engine& state) {
-  size_t held = 0;
-  size_t releasing = 0;
-  for (const auto& [id, one] : state.workers) {
-    held += one.phase == control_phase::kHeld ? 1 : 0;
-    releasing += one.phase == control_phase::kReleasing ? 1 : 0;
-  }
+  const size_t held = state.held_workers.size();
+  const auto releasing = static_cast<size_t>(
+      std::count_if(state.ticked_workers.begin(), state.ticked_workers.end(),
+                    [](const auto& entry) {
+                      return entry.second->phase == control_phase::kReleasing;
+                    }));
   const size_t max_releasing =
       (held + releasing + state.options.release_divisor - 1) /
       state.options.release_divisor;
@@ -506,6 +510,9 @@
   const bool was_draining = one.listing.draining;
   const int64_t boot_time_ms = one.listing.boot_time_ms;
   const bool moved = known && one.listing.address != listing.address;
+  if (one.listing.data_centre != listing.data_centre) {
+    one.assigned.reset();
+  }
   // The row lags behind the worker's own replies, so it may name an earlier
   // process.
   const bool restarted =
@@ -538,6 +545,7 @@
   }
   at->second.listed = false;
   at->second.unlisted = now;
+  state.ticked_workers[id] = &at->second;
   log_line line("worker_unlisted");
   line.With("worker", id);
   AddLogLine(state, line);
@@ -775,21 +783,26 @@
     controllers[data_centre] =
         ChooseControllers(candidates, data_centre, count);
   }
+  const bool same_controllers = controllers == state.controllers;
+  state.controllers = std::move(controllers);
   size_t release_budget = ReleaseBudget(state);
   for (auto& [id, one] : state.workers) {
-    const controller_candidate* const assigned =
-        ChooseController(controllers[one.listing.data_centre], id);
-    const bool assigned_here =
-        assigned != nullptr && assigned->incarnation == state.self.incarnation;
+    if (!same_controllers || !one.assigned) {
+      const controller_candidate* const chosen =
+          ChooseController(state.controllers[one.listing.data_centre], id);
+      one.assigned = chosen == nullptr ? 0 : chosen->incarnation;
+    }
+    const bool assigned_here = *one.assigned == state.self.incarnation;
     ControlWorker(state, one, assigned_here,
-                  assigned != nullptr && !assigned_here, release_budget, now);
+                  *one.assigned != 0 && !assigned_here, release_budget, now);
   }
 }
 
 void TickWorkers(engine& state, instant now) {
   CountSuspects(state, now);
-  for (auto at = state.workers.begin(); at != state.workers.end();) {
-    worker& one = at->second;
+  for (auto at = state.ticked_workers.begin();
+       at != state.ticked_workers.end();) {
+    worker& one = *at->second;
     if (!one.runs.empty() && now >= one.lease_expiry) {
       log_line line("leases_expired");
       line.With("worker", one.listing.id)
@@ -815,7 +828,11 @@
     }
     if (IsUnlistedTooLong(state, one, now) && one.runs.empty()) {
       EndControl(state, one, "gone", now);
-      at = state.workers.erase(at);
+      state.workers.erase(at->first);
+      at = state.ticked_workers.erase(at);
+    } else if (one.phase == control_phase::kNotControlled && one.listed &&
+               one.runs.empty()) {
+      at = state.ticked_workers.erase(at);
     } else {
       ++at;
     }
