bench: closings with machines replaced before a loss of all power

Five seconds before the loss a machine with a witness is removed in each data centre, and one with another name takes its place; once more with a data centre cut off until 2 s after the return.

--- a/packages/bench/fleet/fleet_faults.cc
+++ b/packages/bench/fleet/fleet_faults.cc
@@ -1,5 +1,7 @@
 // The faults of a schedule, and what entries are told of evacuations.
 #include <algorithm>
+#include <set>
+#include <string>
 #include <utility>
 
 #include "fleet_world.h"
@@ -75,6 +77,23 @@
   }
 }
 
+/// In each data centre the machine of one witness is replaced by a new one.
+void world::ReplaceWitnesses() {
+  constexpr milliseconds kDown{1'000};
+  const auto& witnesses = store_.witnesses.witnesses;
+  std::set<std::string> replaced;
+  for (size_t at = 0; at < entries_.size(); ++at) {
+    sim_entry& one = entries_[at];
+    const bool is_witness = std::any_of(
+        witnesses.begin(), witnesses.end(),
+        [&one](const auto& listed) { return listed.name == one.name; });
+    if (is_witness && one.up && replaced.insert(DataCentreOf(at)).second) {
+      ++one.replacements;
+      Kill(at, kDown);
+    }
+  }
+}
+
 /// Plans the faults that go before a loss of power.
 void world::DisturbBeforePowerLoss() {
   constexpr milliseconds kSpan{5'000};
@@ -107,6 +126,9 @@
       }
     });
   }
+  if (schedule_.replaces_witnesses) {
+    loop_.At(loss - kSpan, [this] { ReplaceWitnesses(); });
+  }
   if (schedule_.freezes_witness) {
     loop_.At(loss + kBetweenKills + kBetweenKills, [this] { FreezeWitness(); });
   }
--- a/packages/bench/fleet/fleet_sim.cc
+++ b/packages/bench/fleet/fleet_sim.cc
@@ -139,6 +139,9 @@
   sim_entry& one = entries_[at];
   one.incarnation = ++last_incarnation_;
   one.name = "entry" + std::to_string(at);
+  if (one.replacements > 0) {
+    one.name += '.' + std::to_string(one.replacements);
+  }
   one.up = true;
   one.frozen = false;
   one.held.clear();
--- a/packages/bench/fleet/fleet_sim.h
+++ b/packages/bench/fleet/fleet_sim.h
@@ -71,6 +71,9 @@
   bool cuts_data_centre = false;
   bool kills_witness = false;
   bool stops_store = false;
+  /// Seconds before it a machine with a witness is removed in each data centre,
+  /// and one with another name takes its place.
+  bool replaces_witnesses = false;
   /// A witness stands still for a second just after the return.
   bool freezes_witness = false;
   /// Share of the callers that wait for up to 30 s.
--- a/packages/bench/fleet/fleet_world.h
+++ b/packages/bench/fleet/fleet_world.h
@@ -47,6 +47,8 @@
   fleet::engine state;
   uint64_t incarnation = 0;
   std::string name;
+  /// How often another machine took its place.
+  uint32_t replacements = 0;
   bool up = true;
   bool frozen = false;
   /// Events that arrived while it was frozen.
@@ -165,6 +167,7 @@
   void HoldLinks();
   void LosePower();
   void DisturbBeforePowerLoss();
+  void ReplaceWitnesses();
   void FreezeWitness();
   void CutEntries();
   bool IsLinkCut(size_t from, size_t to) const;
--- a/packages/bench/fleet/recovery.cc
+++ b/packages/bench/fleet/recovery.cc
@@ -114,6 +114,19 @@
                        return one;
                      }) &&
         met;
+  met = PrintClosing("replaced_witnesses",
+                     [](fleet_schedule one) {
+                       one.replaces_witnesses = true;
+                       return one;
+                     }) &&
+        met;
+  met = PrintClosing("replaced_witnesses_cut",
+                     [](fleet_schedule one) {
+                       one.replaces_witnesses = true;
+                       one.cuts_data_centre = true;
+                       return one;
+                     }) &&
+        met;
   met = PrintClosing("share_absent",
                      [](fleet_schedule one) {
                        one.absent_every = 6;
