gate: the daemon's HTTP servers bound what clients make them hold

Cause: ulfius reads each body whole, up to 8 MB on each of 1,000 connections, and no limit counted them together. Freed bodies were kept besides: with each one that is freed the C library raises the size from which it maps memory, and keeps smaller ones in the heap of each thread.

Ruled out: threads and connections alone (800 that send little: 28 MB).

Change: the server is on libmicrohttpd itself, with the table of connections and the reading of bodies that the other one has (mhd_request, moved, not changed). The bytes of all requests that are not answered have one limit at each address, a sixteenth of the machine's memory and 8 MB at least (--memory-mb); those unfinished for longest are closed, or a new one is refused as not run with Retry-After. Those overdue are closed when others connect. The size from which memory is mapped is fixed in that daemon.

--- a/packages/daemon/src/fleet_process.cc
+++ b/packages/daemon/src/fleet_process.cc
@@ -143,7 +143,7 @@
   }
   link_ = std::move(link).value();
   auto readiness = http_server::Start(
-      {.address = settings_.readiness, .most_connections = 50},
+      {.address = settings_.readiness, .most_connections = 50, .now = Now},
       [this](const server_request& request) {
         const bool ready =
             request.path == platform::kReadinessPath && IsReady();
@@ -157,7 +157,7 @@
   const std::string metrics_address =
       settings_.ip + ':' + std::to_string(options_.metrics_port);
   auto metrics_page = http_server::Start(
-      {.address = metrics_address, .most_connections = 20},
+      {.address = metrics_address, .most_connections = 20, .now = Now},
       [this](const server_request&) {
         const instant now = Now();
         return server_response{
--- a/packages/daemon/src/main.cc
+++ b/packages/daemon/src/main.cc
@@ -1,5 +1,6 @@
 // tarragondriftd, the entry daemon.
 #include <curl/curl.h>
+#include <malloc.h>
 #include <signal.h>
 #include <sys/signalfd.h>
 #include <unistd.h>
@@ -76,7 +77,16 @@
                                       : received_wakes.front().successor);
 }
 
+/// Has large bodies in mappings of their own, which are returned to the system
+/// when they are freed. The library would raise the size from which it does so
+/// with each of them, and keep those below it in the heap of each thread.
+void FixMappingThreshold() {
+  constexpr int kThresholdBytes = 128 << 10;
+  mallopt(M_MMAP_THRESHOLD, kThresholdBytes);
+}
+
 int Serve(const settings& options) {
+  FixMappingThreshold();
   const sigset_t signals = BlockStopSignals();
   // Static, since the detached signal thread uses it until the process exits.
   static mailbox<wake_event> wakes;
--- a/packages/daemon/src/process.cc
+++ b/packages/daemon/src/process.cc
@@ -1,10 +1,14 @@
 #include "process.h"
 
+#include <unistd.h>
+
+#include <algorithm>
 #include <boost/outcome/try.hpp>
 #include <random>
 #include <thread>
 #include <utility>
 
+#include "clock.h"
 #include "logging.h"
 #include "tarragondrift/config/burn_store.h"
 #include "tarragondrift/gate/callers_api.h"
@@ -34,6 +38,22 @@
                       .address = from.peers}};
 }
 
+/// Returns the memory of the machine in bytes.
+size_t MemoryOf(const settings& from) {
+  if (from.memory_mb > 0) {
+    return size_t{from.memory_mb} << 20U;
+  }
+  return static_cast<size_t>(sysconf(_SC_PHYS_PAGES)) *
+         static_cast<size_t>(sysconf(_SC_PAGESIZE));
+}
+
+/// Returns the limit of the bytes of requests at one address. A request takes
+/// several times its size while it is parsed.
+size_t MaxRequestBytes(const settings& from) {
+  constexpr size_t kMemoryShare = 16;
+  return std::max(kMostBodyBytes, MemoryOf(from) / kMemoryShare);
+}
+
 /// Logs a failure to listen on an address and returns `code`.
 result_code LogListenFailure(const std::string& address, result_code code) {
   log_event(log_level::kError, "listen_failed").With("address", address);
@@ -100,7 +120,9 @@
   auto callers =
       http_server::Start({.address = settings_.callers,
                           .most_connections = settings_.max_connections,
-                          .max_body_bytes = kMostBodyBytes},
+                          .max_body_bytes = kMostBodyBytes,
+                          .max_request_bytes = MaxRequestBytes(settings_),
+                          .now = Now},
                          [this](const server_request& request) {
                            return ServeCaller(engine_, request);
                          });
@@ -115,7 +137,9 @@
   auto operators = http_server::Start(
       {.address = settings_.operators,
        .most_connections = kMaxOperatorConnections,
-       .max_body_bytes = kMostBodyBytes},
+       .max_body_bytes = kMostBodyBytes,
+       .max_request_bytes = MaxRequestBytes(settings_),
+       .now = Now},
       [context = MakeContext()](const server_request& request) {
         return ServeOperator(context, request);
       });
--- a/packages/daemon/src/settings.cc
+++ b/packages/daemon/src/settings.cc
@@ -138,12 +138,13 @@
 constexpr uint64_t kMaxDataCentreNumber = 65'535;
 constexpr uint64_t kMaxPort = 65'535;
 constexpr uint64_t kMaxConnections = 20'000;
+constexpr uint64_t kMaxMemoryMb = 1U << 24U;
 constexpr uint64_t kMaxUpstreamThreads = 64;
 constexpr milliseconds kMaxDrainTimeout{3'600'000};
 constexpr milliseconds kMinPollInterval{100};
 constexpr milliseconds kMaxPollInterval{60'000};
 
-constexpr std::array<flag, 20> kFlags{{
+constexpr std::array<flag, 21> kFlags{{
     {"environment",
      [](settings& to, const std::string& text) {
        return SetEnvironment(to.environment, text);
@@ -209,6 +210,11 @@
        return SetNumber(to.max_connections, text, 1, kMaxConnections);
      },
      false, "limit of open connections of callers (1000)"},
+    {"memory-mb",
+     [](settings& to, const std::string& text) {
+       return SetNumber(to.memory_mb, text, 1, kMaxMemoryMb);
+     },
+     false, "memory of the machine, which limits requests (all there is)"},
     {"upstream-threads",
      [](settings& to, const std::string& text) {
        return SetNumber(to.upstream_threads, text, 1, kMaxUpstreamThreads);
--- a/packages/daemon/src/settings.h
+++ b/packages/daemon/src/settings.h
@@ -37,6 +37,8 @@
   /// Bearer token of peers; empty when none is required.
   std::string peer_token;
   uint32_t max_connections = 1'000;
+  /// Memory of the machine; 0 for what the system tells.
+  uint32_t memory_mb = 0;
   uint32_t upstream_threads = 2;
   std::chrono::milliseconds drain_timeout{30'000};
   std::chrono::milliseconds poll_interval{1'000};
--- a/packages/gate/include/tarragondrift/gate/http_server.h
+++ b/packages/gate/include/tarragondrift/gate/http_server.h
@@ -1,4 +1,5 @@
-// An HTTP server on ulfius with a connection limit and a thread per connection.
+// An HTTP server with a thread per connection, and limits on what clients make
+// it hold.
 #ifndef TARRAGONDRIFT_GATE_HTTP_SERVER_H_
 #define TARRAGONDRIFT_GATE_HTTP_SERVER_H_
 
@@ -11,6 +12,7 @@
 #include <string_view>
 
 #include "tarragondrift/core/result_code.h"
+#include "tarragondrift/core/time_base.h"
 
 namespace tarragondrift {
 
@@ -39,12 +41,21 @@
 struct http_server_options {
   /// Listen address, "IP:port".
   std::string address;
+  /// When there are nearly so many, those whose request has been unfinished for
+  /// longest are closed for new ones.
   uint32_t most_connections = 1'000;
   /// With 0, only empty bodies are within the limit; it does not mean "no
   /// limit".
   size_t max_body_bytes = 0;
+  /// Limit of the bytes of all requests that are not answered. When they are
+  /// used up, the requests that have been unfinished for longest are closed.
+  size_t max_request_bytes = 32U << 20U;
   /// Idle connections are closed after this time.
   std::chrono::seconds idle_timeout{300};
+  /// Time for a body after its headers, when others want to connect.
+  std::chrono::seconds request_timeout{30};
+  /// The clock of these times; thread-safe.
+  std::function<instant()> now = [] { return instant{}; };
 };
 
 /// A server that runs from Start until its destruction.
--- a/packages/gate/src/held_http_server.cc
+++ b/packages/gate/src/held_http_server.cc
@@ -8,13 +8,13 @@
 #include <algorithm>
 #include <array>
 #include <atomic>
-#include <cstdlib>
 #include <map>
 #include <mutex>
 #include <optional>
 #include <utility>
 
 #include "connection_table.h"
+#include "mhd_request.h"
 #include "tarragondrift/gate/address.h"
 
 namespace tarragondrift {
@@ -26,22 +26,13 @@
   held_request request;
   bool dispatched = false;
   std::optional<server_response> response;
-  size_t body_limit = 0;
-  /// Bytes that have arrived, kept or not.
-  size_t body_size = 0;
+  incoming_body body;
 };
 
 /// Memory of a connection for headers and the piece of a body that is read.
 /// Callers' headers have less than a kilobyte.
 constexpr size_t kConnectionMemory = size_t{16} << 10U;
 
-/// Returns the announced length of a body, 0 if there is none.
-uint64_t AnnouncedLength(MHD_Connection* connection) {
-  const char* const length = MHD_lookup_connection_value(
-      connection, MHD_HEADER_KIND, MHD_HTTP_HEADER_CONTENT_LENGTH);
-  return length == nullptr ? 0 : std::strtoull(length, nullptr, 10);
-}
-
 std::string HostWithoutPort(const char* host) {
   std::string text = host == nullptr ? "" : host;
   const size_t colon = text.find(':');
@@ -169,12 +160,6 @@
     return {.fd = SocketOf(one.connection), .events = POLLRDHUP};
   }
 
-  static int SocketOf(MHD_Connection* connection) {
-    const MHD_ConnectionInfo* const info =
-        MHD_get_connection_info(connection, MHD_CONNECTION_INFO_CONNECTION_FD);
-    return info == nullptr ? -1 : info->connect_fd;
-  }
-
   static bool IsClosed(const pollfd& socket) {
     return (socket.revents & (POLLRDHUP | POLLHUP | POLLERR)) != 0;
   }
@@ -223,16 +208,17 @@
     if (context == nullptr) {
       exchange* const begun = Begin(connection, url, method);
       context = begun;
-      if (AnnouncedLength(connection) > 2 * begun->body_limit) {
+      if (IsAnnouncedTooLarge(connection, begun->body)) {
         // It is answered at once, and its body is not read.
-        begun->request.too_large = true;
+        begun->body.too_large = true;
         Dispatch(*begun);
       }
       return MHD_YES;
     }
     auto* const one = static_cast<exchange*>(context);
     if (upload_size > 0) {
-      const bool goes_on = TakePiece(*one, upload, upload_size);
+      const bool goes_on =
+          TakePiece(connections_, connection, one->body, upload, upload_size);
       upload_size = 0;
       return goes_on ? MHD_YES : MHD_NO;
     }
@@ -256,34 +242,15 @@
     const char* const extra = MHD_lookup_connection_value(
         connection, MHD_HEADER_KIND, options_.extra_header.c_str());
     made->request.extra = extra == nullptr ? "" : extra;
-    made->body_limit = options_.max_body_bytes;
+    made->body.limit = options_.max_body_bytes;
     if (options_.body_limit) {
-      made->body_limit = std::min(made->body_limit, options_.body_limit());
+      made->body.limit = std::min(made->body.limit, options_.body_limit());
     }
     BeginRequest(connections_, connection, made->request.begun);
     unsent_.fetch_add(1);
     return made.release();
   }
 
-  /// Stores a piece of a body, or discards it if the body is too large.
-  /// @return false if the connection is to be closed.
-  bool TakePiece(exchange& one, const char* upload, size_t size) {
-    one.body_size += size;
-    if (one.body_size > one.body_limit) {
-      one.request.too_large = true;
-      DropBody(connections_, one.connection);
-      // So much is read that a caller gets the answer; no body is without end.
-      return one.body_size <= 2 * one.body_limit;
-    }
-    if (one.request.no_room) {
-      return true;
-    }
-    const body_outcome outcome =
-        AppendBody(connections_, one.connection, upload, size);
-    one.request.no_room = outcome == body_outcome::kNoRoom;
-    return outcome != body_outcome::kClosing;
-  }
-
   /// Suspends the connection and passes the request to the handler.
   void Dispatch(exchange& one) {
     held_request request;
@@ -292,6 +259,8 @@
       one.dispatched = true;
       one.request.number = ++last_number_;
       request = std::move(one.request);
+      request.too_large = one.body.too_large;
+      request.no_room = one.body.no_room;
       request.received = options_.now();
       request.body =
           BeginServing(connections_, one.connection, request.received);
@@ -307,26 +276,7 @@
     if (!one.response) {
       return MHD_NO;
     }
-    const server_response& answer = *one.response;
-    MHD_Response* const response = MHD_create_response_from_buffer(
-        answer.body.size(),
-        const_cast<char*>(answer.body.data()),  // NOLINT: C API; it is copied
-        MHD_RESPMEM_MUST_COPY);
-    MHD_add_response_header(response, "Content-Type",
-                            answer.content_type.c_str());
-    if (answer.retry_after.count() > 0) {
-      const auto seconds =
-          std::chrono::ceil<std::chrono::seconds>(answer.retry_after);
-      MHD_add_response_header(response, "Retry-After",
-                              std::to_string(seconds.count()).c_str());
-    }
-    if (closing_.load()) {
-      MHD_add_response_header(response, "Connection", "close");
-    }
-    const MHD_Result queued =
-        MHD_queue_response(one.connection, answer.status, response);
-    MHD_destroy_response(response);
-    return queued;
+    return QueueResponse(one.connection, *one.response, closing_.load());
   }
 
   void Complete(void* context) {
--- a/packages/gate/src/http_server.cc
+++ b/packages/gate/src/http_server.cc
@@ -1,28 +1,42 @@
 #include "tarragondrift/gate/http_server.h"
 
-// ulfius.h uses types that <sys/socket.h> declares.
-#include <ulfius.h>
+#include <microhttpd.h>
+#include <netinet/in.h>
+#include <unistd.h>
 
 #include <algorithm>
-#include <array>
 #include <atomic>
 #include <exception>
 #include <utility>
 
 #include "connection_table.h"
+#include "mhd_request.h"
 #include "tarragondrift/gate/address.h"
+#include "tarragondrift/gate/callers_api.h"
 
 namespace tarragondrift {
 namespace {
 
+/// Memory of a connection for headers and the piece of a body that is read.
+constexpr size_t kConnectionMemory = size_t{16} << 10U;
+constexpr std::chrono::milliseconds kRetryAfter{1'000};
+
 /// Returns a view of a C string, empty for a null pointer.
 std::string_view View(const char* text) {
   return text == nullptr ? std::string_view{} : std::string_view{text};
 }
 
-class ulfius_server : public http_server {
+/// A request in progress in libmicrohttpd.
+struct exchange {
+  std::string method;
+  std::string path;
+  incoming_body body;
+  bool answered = false;
+};
+
+class mhd_server : public http_server {
  public:
-  ulfius_server(const http_server_options& options, server_handler handler)
+  mhd_server(const http_server_options& options, server_handler handler)
       : options_(options), handler_(std::move(handler)) {
     // Some more are accepted, so that new callers do not wait until those that
     // give way are closed.
@@ -30,14 +44,14 @@
     connections_.max_connections =
         std::max(1U, options_.most_connections -
                          options_.most_connections / kReserveShare);
+    connections_.max_bytes = options_.max_request_bytes;
   }
-  ulfius_server(const ulfius_server&) = delete;
-  ulfius_server& operator=(const ulfius_server&) = delete;
+  mhd_server(const mhd_server&) = delete;
+  mhd_server& operator=(const mhd_server&) = delete;
 
-  ~ulfius_server() override {
-    if (initialised_) {
-      ulfius_stop_framework(&instance_);
-      ulfius_clean_instance(&instance_);
+  ~mhd_server() override {
+    if (daemon_ != nullptr) {
+      MHD_stop_daemon(daemon_);
     }
   }
 
@@ -48,21 +62,29 @@
       return address.error();
     }
     address_ = address.value();
-    if (ulfius_init_instance(&instance_, ntohs(address_.sin_port), &address_,
-                             nullptr) != U_OK) {
+    constexpr unsigned int kListenBacklog = 1'024;
+    constexpr unsigned int kFlags = MHD_USE_THREAD_PER_CONNECTION |
+                                    MHD_USE_INTERNAL_POLLING_THREAD |
+                                    MHD_USE_POLL | MHD_USE_ITC;
+    daemon_ = MHD_start_daemon(
+        kFlags, ntohs(address_.sin_port), nullptr, nullptr, &OnAccess, this,
+        MHD_OPTION_SOCK_ADDR, &address_, MHD_OPTION_NOTIFY_COMPLETED,
+        &OnCompleted, this, MHD_OPTION_NOTIFY_CONNECTION, &OnConnection, this,
+        MHD_OPTION_CONNECTION_LIMIT,
+        static_cast<unsigned int>(options_.most_connections),
+        MHD_OPTION_CONNECTION_MEMORY_LIMIT, kConnectionMemory,
+        MHD_OPTION_CONNECTION_TIMEOUT,
+        static_cast<unsigned int>(options_.idle_timeout.count()),
+        MHD_OPTION_LISTEN_BACKLOG_SIZE, kListenBacklog,
+        MHD_OPTION_LISTENING_ADDRESS_REUSE, 1U, MHD_OPTION_END);
+    if (daemon_ == nullptr) {
       return result_code::kInternal;
     }
-    initialised_ = true;
-    // Reads one byte above the limit, so that the handlers, such as
-    // ServeCaller, can detect and reject bodies that exceed it.
-    instance_.max_post_body_size = options_.max_body_bytes + 1;
-    instance_.allowed_post_processor = U_POST_PROCESS_NONE;
-    ulfius_add_endpoint_by_val(&instance_, "*", nullptr, "*", 0, &Serve, this);
-    return StartDaemon();
+    return outcome::success();
   }
 
   void StopAccepting() override {
-    const int listener = MHD_quiesce_daemon(instance_.mhd_daemon);
+    const MHD_socket listener = MHD_quiesce_daemon(daemon_);
     if (listener != MHD_INVALID_SOCKET) {
       close(listener);
     }
@@ -71,130 +93,120 @@
   size_t ActiveRequests() const override { return active_.load(); }
 
  private:
-  /// Starts libmicrohttpd through ulfius with a connection limit, which
-  /// ulfius_start_framework does not support.
-  result<void> StartDaemon() {
-    constexpr unsigned int kListenBacklog = 1'024;
-    constexpr unsigned int kFlags = MHD_USE_THREAD_PER_CONNECTION |
-                                    MHD_USE_INTERNAL_POLLING_THREAD |
-                                    MHD_USE_POLL | MHD_USE_ITC;
-    std::array<MHD_OptionItem, 9> items{{
-        {MHD_OPTION_NOTIFY_CONNECTION,
-         reinterpret_cast<intptr_t>(&OnConnection),  // NOLINT: C API
-         this},
-        {MHD_OPTION_NOTIFY_COMPLETED,
-         reinterpret_cast<intptr_t>(&OnCompleted),  // NOLINT: C API
-         this},
-        {MHD_OPTION_URI_LOG_CALLBACK,
-         reinterpret_cast<intptr_t>(&OnBegin),  // NOLINT: C API
-         this},
-        {MHD_OPTION_SOCK_ADDR, 0, &address_},
-        {MHD_OPTION_CONNECTION_LIMIT,
-         static_cast<intptr_t>(options_.most_connections), nullptr},
-        {MHD_OPTION_CONNECTION_TIMEOUT,
-         static_cast<intptr_t>(options_.idle_timeout.count()), nullptr},
-        {MHD_OPTION_LISTEN_BACKLOG_SIZE, kListenBacklog, nullptr},
-        {MHD_OPTION_LISTENING_ADDRESS_REUSE, 1, nullptr},
-        {MHD_OPTION_END, 0, nullptr},
-    }};
-    if (ulfius_start_framework_with_mhd_options(&instance_, kFlags,
-                                                items.data()) != U_OK) {
-      return result_code::kInternal;
+  static MHD_Result OnAccess(void* self, MHD_Connection* connection,
+                             const char* url, const char* method,
+                             const char* /*version*/, const char* upload,
+                             size_t* upload_size, void** context) {
+    return static_cast<mhd_server*>(self)->Access(
+        connection, url, method, upload, *upload_size, *context);
+  }
+
+  /// Called when the response is fully sent or its connection is lost.
+  static void OnCompleted(void* self, MHD_Connection* connection,
+                          void** context, MHD_RequestTerminationCode /*how*/) {
+    if (*context == nullptr) {
+      return;
     }
-    return outcome::success();
+    auto* const server = static_cast<mhd_server*>(self);
+    EndServing(server->connections_, connection, server->options_.now());
+    delete static_cast<exchange*>(*context);
+    *context = nullptr;
+    server->active_.fetch_sub(1);
   }
 
   static void OnConnection(void* self, MHD_Connection* connection,
                            void** /*context*/,
                            MHD_ConnectionNotificationCode how) {
-    auto* const server = static_cast<ulfius_server*>(self);
-    if (how == MHD_CONNECTION_NOTIFY_STARTED) {
-      const MHD_ConnectionInfo* const info = MHD_get_connection_info(
-          connection, MHD_CONNECTION_INFO_CONNECTION_FD);
-      AddConnection(server->connections_, connection,
-                    info == nullptr ? -1 : info->connect_fd, {});
-    } else {
-      RemoveConnection(server->connections_, connection);
+    auto* const server = static_cast<mhd_server*>(self);
+    connection_table& table = server->connections_;
+    if (how != MHD_CONNECTION_NOTIFY_STARTED) {
+      RemoveConnection(table, connection);
+      return;
     }
+    const instant now = server->options_.now();
+    CloseOverdue(table, server->options_.request_timeout,
+                 server->options_.idle_timeout, now);
+    AddConnection(table, connection, SocketOf(connection), now);
   }
 
-  /// Called when the request line has been read.
-  static void* OnBegin(void* self, const char* uri,
-                       MHD_Connection* connection) {
-    auto* const server = static_cast<ulfius_server*>(self);
-    server->active_.fetch_add(1);
-    BeginRequest(server->connections_, connection, {});
-    served_connection = connection;
-    return ulfius_uri_logger(nullptr, uri);
-  }
-
-  /// Called when the response is fully sent or its connection is lost.
-  static void OnCompleted(void* self, MHD_Connection* connection,
-                          void** request, MHD_RequestTerminationCode how) {
-    mhd_request_completed(nullptr, connection, request, how);
-    auto* const server = static_cast<ulfius_server*>(self);
-    EndServing(server->connections_, connection, {});
-    server->active_.fetch_sub(1);
+  MHD_Result Access(MHD_Connection* connection, const char* url,
+                    const char* method, const char* upload, size_t& upload_size,
+                    void*& context) {
+    if (context == nullptr) {
+      auto begun = std::make_unique<exchange>(
+          exchange{.method = method,
+                   .path = url,
+                   .body = {.limit = options_.max_body_bytes}});
+      exchange& one = *begun;
+      context = begun.release();
+      active_.fetch_add(1);
+      BeginRequest(connections_, connection, options_.now());
+      if (IsAnnouncedTooLarge(connection, one.body)) {
+        // It is answered at once, and its body is not read.
+        one.body.too_large = true;
+        return Answer(connection, one);
+      }
+      return MHD_YES;
+    }
+    exchange& one = *static_cast<exchange*>(context);
+    if (upload_size > 0) {
+      const bool goes_on =
+          TakePiece(connections_, connection, one.body, upload, upload_size);
+      upload_size = 0;
+      return goes_on ? MHD_YES : MHD_NO;
+    }
+    return one.answered ? MHD_YES : Answer(connection, one);
   }
 
-  static int Serve(const _u_request* request, _u_response* response,
-                   void* self) {
-    static_cast<ulfius_server*>(self)->Answer(*request, *response);
-    return U_CALLBACK_COMPLETE;
+  MHD_Result Answer(MHD_Connection* connection, exchange& one) {
+    one.answered = true;
+    const std::string body =
+        BeginServing(connections_, connection, options_.now());
+    return QueueResponse(connection, MakeAnswer(connection, one, body), false);
   }
 
-  void Answer(const _u_request& request, _u_response& response) {
-    BeginServing(connections_, served_connection, {});
-    server_response answer;
+  server_response MakeAnswer(MHD_Connection* connection, const exchange& one,
+                             const std::string& body) {
+    if (one.body.too_large) {
+      return ErrorResponse({result_code::kRequestTooLarge, "body too large"});
+    }
+    if (one.body.no_room) {
+      server_response refusal =
+          ErrorResponse({result_code::kNotRunOverloaded, ""});
+      refusal.retry_after = kRetryAfter;
+      return refusal;
+    }
+    const auto header = [connection](MHD_ValueKind kind, const char* name) {
+      return View(MHD_lookup_connection_value(connection, kind, name));
+    };
     try {
-      answer = handler_(ToRequest(request));
+      return handler_(
+          {.method = one.method,
+           .path = one.path,
+           .body = body,
+           .authorization = header(MHD_HEADER_KIND, "Authorization"),
+           .query = [&header](const char* name) {
+             return header(MHD_GET_ARGUMENT_KIND, name);
+           }});
     } catch (const std::exception&) {
       // An unexpected exception fails this request, not the whole entry.
-      answer = {.status = 500, .body = R"({"code": 900, "name": "internal"})"};
-    }
-    ulfius_set_binary_body_response(&response, answer.status,
-                                    answer.body.data(), answer.body.size());
-    u_map_put(response.map_header, "Content-Type", answer.content_type.c_str());
-    if (answer.retry_after.count() > 0) {
-      const auto seconds =
-          std::chrono::ceil<std::chrono::seconds>(answer.retry_after);
-      u_map_put(response.map_header, "Retry-After",
-                std::to_string(seconds.count()).c_str());
+      return {.status = 500, .body = R"({"code": 900, "name": "internal"})"};
     }
   }
 
-  static server_request ToRequest(const _u_request& request) {
-    return {.method = View(request.http_verb),
-            .path = View(request.url_path),
-            .body = {static_cast<const char*>(request.binary_body),
-                     request.binary_body_length},
-            .authorization =
-                View(u_map_get_case(request.map_header, "Authorization")),
-            .query = [&request](const char* name) {
-              return View(u_map_get(request.map_url, name));
-            }};
-  }
-
-  /// The connection whose request the calling thread reads or serves; each
-  /// connection has a thread of its own.
-  static thread_local const MHD_Connection* served_connection;
-
   http_server_options options_;
   server_handler handler_;
   connection_table connections_;
   sockaddr_in address_{};
-  _u_instance instance_{};
-  bool initialised_ = false;
+  MHD_Daemon* daemon_ = nullptr;
   std::atomic<size_t> active_{0};
 };
 
-thread_local const MHD_Connection* ulfius_server::served_connection = nullptr;
-
 }  // namespace
 
 result<std::unique_ptr<http_server>> http_server::Start(
     const http_server_options& options, server_handler handler) {
-  auto server = std::make_unique<ulfius_server>(options, std::move(handler));
+  auto server = std::make_unique<mhd_server>(options, std::move(handler));
   const result<void> listening = server->Listen();
   if (!listening) {
     return listening.error();
