--- a/packages/daemon/src/engine_queue.cc
+++ b/packages/daemon/src/engine_queue.cc
@@ -24,10 +24,6 @@
   steps_.Push({.posted = now, .run = std::move(step)});
 }
 
-void engine_queue::PostDeferrable(engine_step step, instant now) {
-  steps_.PushDeferrable({.posted = now, .run = std::move(step)}, urgent_);
-}
-
 std::vector<posted_step> engine_queue::TakeUntil(instant limit) {
   std::vector<posted_step> batch = steps_.TakeUntil(ToSteady(limit));
   batch_size_ = batch.size();
--- a/packages/daemon/src/engine_queue.h
+++ b/packages/daemon/src/engine_queue.h
@@ -30,13 +30,6 @@
   /// Adds a step; thread-safe.
   void Post(engine_step step, instant now);
 
-  /// Adds a step that wakes the engine thread only while SetUrgent is set; else
-  /// it is handled with the next step or at the end of the wait. Thread-safe.
-  void PostDeferrable(engine_step step, instant now);
-
-  /// Sets whether deferrable steps wake the engine thread, which calls it.
-  void SetUrgent(bool urgent) { urgent_.store(urgent); }
-
   /// Returns all posted steps; while there are none, waits until `limit`. They
   /// count as waiting until EndBatch.
   std::vector<posted_step> TakeUntil(instant limit);
@@ -62,7 +55,6 @@
   std::atomic<int64_t> batch_posted_{0};
   std::atomic<int64_t> longest_wait_us_{0};
   std::atomic<uint64_t> handled_{0};
-  std::atomic<bool> urgent_{false};
   size_t batch_size_ = 0;
   instant next_log_;
 };
--- a/packages/daemon/src/fleet_process.cc
+++ b/packages/daemon/src/fleet_process.cc
@@ -281,8 +281,6 @@
       fleet::DispatchAndFlush(engine_, now);
     }
     Execute(now);
-    // Messages that wait for the end of a delivery are sent at once.
-    queue_.SetUrgent(engine_.envelopes_waiting);
     queue_.EndBatch(Now());
     engine_progress_.Advance();
     if (stop_started_ && IsStopComplete(now)) {
--- a/packages/daemon/src/fleet_process_io.cc
+++ b/packages/daemon/src/fleet_process_io.cc
@@ -273,14 +273,9 @@
 void fleet_process::Execute(const fleet::peer_send& message) {
   link_->Deliver(message.address, message.content,
                  [this, to = message.content.to](fleet::delivery outcome) {
-                   engine_step step = [=, this](instant now) {
+                   Post([=, this](instant now) {
                      fleet::OnDelivery(engine_, to, outcome, now);
-                   };
-                   if (outcome == fleet::delivery::kDelivered) {
-                     queue_.PostDeferrable(std::move(step), Now());
-                   } else {
-                     Post(std::move(step));
-                   }
+                   });
                  });
 }
 
--- a/packages/daemon/src/mailbox.h
+++ b/packages/daemon/src/mailbox.h
@@ -2,7 +2,6 @@
 #ifndef TARRAGONDRIFT_DAEMON_MAILBOX_H_
 #define TARRAGONDRIFT_DAEMON_MAILBOX_H_
 
-#include <atomic>
 #include <chrono>
 #include <condition_variable>
 #include <mutex>
@@ -24,20 +23,6 @@
     arrived_.notify_one();
   }
 
-  /// Adds a message, and wakes the consumer only if `wakes` is set. What the
-  /// consumer sets it to before a wait holds for that wait.
-  void PushDeferrable(Message message, const std::atomic<bool>& wakes) {
-    bool wake = false;
-    {
-      const std::scoped_lock lock(mutex_);
-      messages_.push_back(std::move(message));
-      wake = wakes.load();
-    }
-    if (wake) {
-      arrived_.notify_one();
-    }
-  }
-
   /// Removes and returns all queued messages; when the queue is empty, waits
   /// for a message until `limit`.
   /// @return empty on timeout, or when closed with no message queued.
--- a/packages/fleet/include/tarragondrift/fleet/engine_base.h
+++ b/packages/fleet/include/tarragondrift/fleet/engine_base.h
@@ -396,8 +396,6 @@
   bool dispatch_due = false;
   /// So many held workers are under suspicion that none is taken for faulty.
   bool ignores_suspicion = false;
-  /// An outbox that is due waits for the end of the delivery before it.
-  bool envelopes_waiting = false;
   /// Messages from this entry to itself.
   std::vector<peer_message> loopback;
   engine_counts counts;
--- a/packages/fleet/src/outbox_cmd.cc
+++ b/packages/fleet/src/outbox_cmd.cc
@@ -76,10 +76,7 @@
 
 void SendOutboxes(engine& state, instant now) {
   std::optional<load_table> load;
-  state.envelopes_waiting = false;
   for (auto& [incarnation, one] : state.peers) {
-    state.envelopes_waiting =
-        state.envelopes_waiting || (one.outbox_due && one.in_flight);
     if ((!one.outbox_due && !one.keepalive_due) || one.in_flight) {
       continue;
     }
