--- a/packages/fleet/test/worker_list_test.cc
+++ b/packages/fleet/test/worker_list_test.cc
@@ -152,5 +152,47 @@
   CHECK(state.workers.at("w").listed);
 }
 
+TEST_CASE_METHOD(list_fixture, "ticks looked at all listed workers") {
+  constexpr int kWorkers = 1'000;
+  state.workers_listed = true;
+  for (int at = 0; at < kWorkers; ++at) {
+    UpdateWorkerListing(state, Listing("w" + std::to_string(at), "east"), now);
+  }
+  Advance(3s, {});
+  const auto held = state.held_workers.size();
+  CHECK(held < kWorkers / 2);
+  CHECK(state.ticked_workers.size() == held);
+}
+
+TEST_CASE_METHOD(list_fixture,
+                 "a removed worker that nobody controls was not forgotten") {
+  UpdateWorkerListing(state, Listing("far", "west"), now);
+  Advance(100ms, {.claims = {{.worker = "far", .fence = 9}}});
+  RemoveWorkerListing(state, "far", now);
+  Advance(5s, {});
+  CHECK_FALSE(state.workers.contains("far"));
+  CHECK(state.ticked_workers.empty());
+}
+
+TEST_CASE_METHOD(list_fixture,
+                 "a lost worker was not looked at until its runs had ended") {
+  UpdateWorkerListing(state, Listing("w", "east"), now);
+  Advance(3s, {.leaving = true});
+  REQUIRE(state.held_workers.size() == 1);
+  worker& one = state.workers.at("w");
+  one.runs[{.task = {.job = "j"}, .run = 1}] = {};
+  // The peer takes it over with a higher fence.
+  OnPollReply(state, "w", one.poll_number, {.outcome = poll_outcome::kFenced},
+              1'000, now);
+  Hear({.claims = {{.worker = "w", .fence = 1'000'000}}});
+  REQUIRE(one.phase == control_phase::kNotControlled);
+  REQUIRE(now < one.lease_expiry);
+  Tick(state, now);
+  CHECK(one.runs.size() == 1);
+  now = one.lease_expiry;
+  Tick(state, now);
+  CHECK(one.runs.empty());
+}
+
 }  // namespace
 }  // namespace tarragondrift::fleet
