--- a/review/6/case.py
+++ b/review/6/case.py
@@ -1,76 +1,90 @@
-"""Jobs that wait for capacity at their entries are cancelled, and run later."""
+"""Every entry is replaced by a new one, one after the other; then all
+processes are killed and start again."""
 
 import asyncio
 import os
 import random
+import signal
 import sys
 
 FOLDER = os.path.dirname(os.path.abspath(__file__))
 sys.path.insert(0, os.path.join(os.path.dirname(FOLDER), "lib-2"))
 from stand_in import job_id, now, run_case  # noqa: E402
 
-# The bound of the rule, `cancel_ms`.
-CANCEL_S = 3.0
-RUNNERS = 48
-# Two tasks fit a runner.
-SLOTS = 2 * RUNNERS
-# Declared running time, and the share of it that tasks take.
-TASK_S = 5.0
-SPREAD = (0.6, 1.4)
-DEADLINE_MS = 30000
-# Jobs that come at once, and the load after them as a share of the capacity.
-AT_ONCE, LOAD = 196, 1.3
-# The last of them are cancelled.
-CANCELLED = 12
-LOAD_S = 8.5
+# As on rondo-sched: seven entries in four zones; `graceS` and `recoverS`.
+ZONES = ["a", "a", "b", "b", "c", "c", "d"]
+GRACE_S, RECOVER_S = 6.0, 12.0
+# A day replaces an entry each 5 s.
+GAP_S = 5.0
+LEAST_SHARE = 0.25
+TASK_MS, JOBS_PER_S = 200, 10
+
+
+async def replace(fleet, old):
+    """Starts a new entry, then stops the old one as planned."""
+    new = fleet.add_entry(old.zone)
+    # The platform sends no client to an entry that is not ready; the old one
+    # goes all the same, as it does on a day.
+    end = now() + 2
+    while now() < end and not await new.is_ready():
+        await asyncio.sleep(0.1)
+    old.signal(signal.SIGTERM)
+    end = now() + GRACE_S
+    while old.process.poll() is None and now() < end:
+        await asyncio.sleep(0.05)
+    old.kill()
 
 
 async def play(fleet, trouble):
-    await fleet.start(runners=RUNNERS)
-    await fleet.wait_ready()
-    starts = {}
-    for runner in fleet.runners:
-        runner.on_start = lambda task, run: starts.setdefault(
-            task.split(".")[0], []).append(now())
-    work = []
+    await fleet.start(runners=12)
+    await fleet.wait_ready(settle=1)
+    live = list(fleet.entries)
+    answers = []
 
-    def submit(job):
-        entry = fleet.entries[len(work) % len(fleet.entries)]
-        work.append(asyncio.create_task(fleet.submit(
-            entry, job, [{"count": 1, "estMs": int(TASK_S * 1000)}],
-            int(TASK_S * 1000 * random.uniform(*SPREAD)), DEADLINE_MS)))
-        return entry
+    async def submit():
+        sent = now()
+        status, text = await fleet.submit(
+            random.choice(live), job_id(),
+            [{"count": 2, "estMs": TASK_MS}], TASK_MS, 1500)
+        answers.append((sent, status == 200 and "complete" in text))
 
-    async def load(seconds):
-        end = now() + seconds
-        while now() < end:
-            submit(job_id())
-            await asyncio.sleep(TASK_S / SLOTS / LOAD)
+    async def load():
+        while True:
+            work.append(asyncio.create_task(submit()))
+            await asyncio.sleep(1 / JOBS_PER_S)
 
-    for _ in range(AT_ONCE if trouble else SLOTS // 2):
-        submit(job_id())
-        await asyncio.sleep(0.004)
-    jobs = [job_id() for _ in range(CANCELLED)]
-    entries = [submit(job) for job in jobs]
-    if trouble:
-        await load(3.5)
-    else:
-        await asyncio.sleep(0.5)
-    acknowledged = {}
-    for entry, job in zip(entries, jobs):
-        if await fleet.cancel(entry, job) in (200, 202, 204, 410):
-            acknowledged[job] = now()
+    work = []
+    sender = asyncio.create_task(load())
+    await asyncio.sleep(15)
     if trouble:
-        await load(LOAD_S)
-    await asyncio.sleep(9)
-    for one in work:
-        one.cancel()
-    late = {job: round(starts[job][-1] - at, 3)
-            for job, at in acknowledged.items()
-            if job in starts and starts[job][-1] > at + CANCEL_S}
-    fleet.record.add("cancelled", acknowledged=len(acknowledged),
-                     started_after_s=late)
-    return 1 if late else 0
+        for old in list(live):
+            began = now()
+            index = live.index(old)
+            stopping = asyncio.create_task(replace(fleet, old))
+            await asyncio.sleep(0)
+            # Clients go to the new one as soon as the old one leaves.
+            live[index] = fleet.entries[-1]
+            await stopping
+            await asyncio.sleep(max(0, GAP_S - (now() - began)))
+    await asyncio.sleep(5)
+    fault = now()
+    for entry in live:
+        entry.signal(signal.SIGKILL)
+        entry.process.wait()
+    await asyncio.sleep(0.8)
+    for entry in live:
+        entry.start()
+    back = now()
+    await asyncio.sleep(RECOVER_S + 8)
+    sender.cancel()
+    await asyncio.sleep(2)
+    before = [served for sent, served in answers if sent < fault - 2]
+    after = [served for sent, served in answers if sent > back + RECOVER_S]
+    fleet.record.add("served", before=f"{sum(before)}/{len(before)}",
+                     later_than_recover_s=f"{sum(after)}/{len(after)}")
+    if not after or sum(before) < LEAST_SHARE * len(before):
+        return 2
+    return 1 if sum(after) < LEAST_SHARE * len(after) else 0
 
 
-run_case(FOLDER, ["a", "b"], play)
+run_case(FOLDER, ZONES, play)
--- a/review/lib-2/stand_in.py
+++ b/review/lib-2/stand_in.py
@@ -358,7 +358,7 @@
     """A process of the system, started by the deploy file's command."""
 
     def __init__(self, fleet, index, zone):
-        self.fleet, self.index = fleet, index
+        self.fleet, self.index, self.zone = fleet, index, zone
         self.name = f"edge-{zone}-{index}"
         self.ip = f"{fleet.net}.{index + 10}"
         self.path = os.path.join(fleet.work, f"settings{index}.json")
@@ -513,12 +513,18 @@
                          zone, cpu, ["a", f"rack{index}"])
             self.runners.append(one)
             await one.start()
-        for index, zone in enumerate(self._zone_of_entry):
-            self.entries.append(Entry(self, index, zone))
-            if self.links:
-                self.entries[-1].environment = {
-                    "TARRAGONDRIFT_PEER_PROXY": self.links.address(index)}
-            self.entries[-1].start()
+        for zone in self._zone_of_entry:
+            self.add_entry(zone)
+
+    def add_entry(self, zone):
+        """Starts an entry at a new address, under a new name."""
+        index = len(self.entries)
+        self.entries.append(Entry(self, index, zone))
+        if self.links:
+            self.entries[-1].environment = {
+                "TARRAGONDRIFT_PEER_PROXY": self.links.address(index)}
+        self.entries[-1].start()
+        return self.entries[-1]
 
     async def wait_ready(self, limit=30, settle=4):
         end = now() + limit
