--- a/review/lib-2/stand_in.py
+++ b/review/lib-2/stand_in.py
@@ -23,6 +23,8 @@
 BINARY = os.path.join(ROOT, "target", "tarragondriftd")
 FRONT, READY, PEERS, METRICS = 8161, 8167, 7720, 9464
 STORE_PORT, RUNNER_PORT = 8169, 8200
+# Limit of a process's memory in its settings.
+MEMORY_MB = 260
 
 STARTED = time.monotonic()
 
@@ -370,7 +372,7 @@
             "listen": {"front": front, "ready": ready},
             "portRange": [PEERS, PEERS + 15], "seeds": [],
             "bootstrap": True, "lossCounts": True,
-            "limits": {"cpuShare": 0.25, "cores": 1, "memoryMb": 260,
+            "limits": {"cpuShare": 0.25, "cores": 1, "memoryMb": MEMORY_MB,
                        "maxFds": 4100, "linkMbps": 1000.0, "diskMb": 0},
             "dataDir": None, "discovery": "platform", "entry": "vip",
             "heartbeatMs": 1500,
@@ -537,15 +539,16 @@
         await asyncio.sleep(settle)
 
     async def submit(self, entry, job, steps, ms, deadline_ms, cpu=6800,
-                     queue="q"):
+                     queue="q", brief=False):
         """Submits a job whose caller waits for its end; each of its tasks runs
         for `ms`. Returns the status and the body of the answer."""
         body = json.dumps({
             "spec": json.dumps({"ms": ms, "cpu": cpu}), "bestEffort": True,
             "steps": [{"cpu": cpu, "memMb": 64, **step}
                       for step in steps]}).encode()
-        self.record.add("post", job=job, entry=entry.name,
-                        steps=json.dumps(steps).replace(" ", ""))
+        self.record.add("post", job=job, entry=entry.name, bytes=len(body),
+                        steps=len(steps) if brief else
+                        json.dumps(steps).replace(" ", ""))
         status, text = await call(
             entry.ip, FRONT, "POST", f"/{queue}/{job}",
             {"Host": self.HOST, "X-Deadline-Ms": str(deadline_ms)}, body,
