--- a/review/lib-2/stand_in.py
+++ b/review/lib-2/stand_in.py
@@ -405,6 +405,7 @@
         self.environment = {}
 
     def start(self):
+        self.kill()
         log_path = os.path.join(self.fleet.work, f"entry{self.index}.log")
         with open(log_path, "ab") as log:
             self.process = subprocess.Popen(
