fleet: the log tells who was asked in a round, and what stopped a run

Two runs of one task at once left the same lines whatever the cause (the five hypotheses of docs/incidents/twice_unasked_controllers.md). No decision changes.

- task_start: origin and request of the submission, step.
- claim_granted, claim_refused after a round: the controllers told, those that did not confirm, those that count as silent.
A grant without a round, where the witness knows another submission, leaves a line as well.
- job_answered, caller_left: parts that are not known to have ended.
- run_abandoned, part_ended: cause.
Parts that are dropped with a lost origin leave run_abandoned too.
- unknown_run_stopped: a run of another controller, once.
- candidate_changed: with the workers controlled and the runs.
- tarragondrift_workers_lost_total by cause.

--- a/packages/daemon/src/fleet_metrics.cc
+++ b/packages/daemon/src/fleet_metrics.cc
@@ -197,7 +197,10 @@
                counts.ends_other);
   AppendMetric(page, "tarragondrift_stalls_total", counts.stalls);
   AppendMetric(page, "tarragondrift_workers_acquired_total", counts.acquired);
-  AppendMetric(page, "tarragondrift_workers_lost_total", counts.lost);
+  for (const auto& [cause, count] : counts.lost_by_cause) {
+    page << "tarragondrift_workers_lost_total{cause=\"" << cause << "\"} "
+         << count << '\n';
+  }
   AppendMetric(page, "tarragondrift_workers_lost_with_runs_total",
                counts.workers_lost_with_runs);
   AppendMetric(page, "tarragondrift_runs_lost_total", counts.runs_lost);
--- a/packages/fleet/include/tarragondrift/fleet/claim_base.h
+++ b/packages/fleet/include/tarragondrift/fleet/claim_base.h
@@ -192,6 +192,8 @@
   /// The arbiter may not know earlier submissions, so that no verdict is a
   /// refusal.
   bool is_inquiry = false;
+  /// Those that were told, and those of them that have not confirmed.
+  std::set<uint64_t> told;
   std::set<uint64_t> awaited;
   instant began;
 };
--- a/packages/fleet/include/tarragondrift/fleet/engine_base.h
+++ b/packages/fleet/include/tarragondrift/fleet/engine_base.h
@@ -221,7 +221,8 @@
   uint64_t ends_other = 0;
   uint64_t stalls = 0;
   uint64_t acquired = 0;
-  uint64_t lost = 0;
+  /// Ends of the control of a worker, by cause.
+  std::map<std::string, uint64_t> lost_by_cause;
   /// Workers that were lost while they had runs, and those runs.
   uint64_t workers_lost_with_runs = 0;
   uint64_t runs_lost = 0;
--- a/packages/fleet/include/tarragondrift/fleet/part_cmd.h
+++ b/packages/fleet/include/tarragondrift/fleet/part_cmd.h
@@ -25,9 +25,11 @@
 void CancelPartsOfJob(engine& state, const std::string& job, instant now);
 
 /// Cancels the parts of a job that are not of a submission.
+/// @param cause why, for the log.
 /// @return how many there were.
 size_t CancelOtherPartsOfJob(engine& state, const std::string& job,
-                             const job_attempt& attempt, instant now);
+                             const job_attempt& attempt, const char* cause,
+                             instant now);
 
 /// Handles the end of a run on the worker `host`; a task that is not done is
 /// queued again, or fails its part once its attempts are used up.
@@ -51,7 +53,9 @@
 void DropQueuedTasks(engine& state, part_id id, uint32_t first);
 
 /// Ends a part, stops its runs and reports its result to its origin.
-void EndPart(engine& state, part_id id, result_code code, instant now);
+/// @param cause why, for the log.
+void EndPart(engine& state, part_id id, result_code code, const char* cause,
+             instant now);
 
 /// Refuses or fails the parts that are past their deadline or can no longer be
 /// answered in time, and all parts once the drain time is over.
--- a/packages/fleet/src/arbiter_cmd.cc
+++ b/packages/fleet/src/arbiter_cmd.cc
@@ -3,6 +3,7 @@
 #include <algorithm>
 #include <optional>
 #include <set>
+#include <string>
 #include <string_view>
 #include <unordered_set>
 #include <utility>
@@ -153,6 +154,46 @@
              : known;
 }
 
+/// Returns the names of entries; the number of those left out comes last.
+std::string NameEntries(const engine& state,
+                        const std::set<uint64_t>& incarnations) {
+  constexpr size_t kMaxNames = 40;
+  std::vector<std::string> names;
+  for (const uint64_t one : incarnations) {
+    if (names.size() == kMaxNames) {
+      names.push_back("+" + std::to_string(incarnations.size() - kMaxNames));
+      break;
+    }
+    const auto at = state.peers.find(one);
+    names.push_back(one == state.self.incarnation ? state.self.name
+                    : at == state.peers.end()     ? std::to_string(one)
+                                                  : at->second.identity.name);
+  }
+  return names.empty() ? "none" : JoinNames(names);
+}
+
+/// Logs the end of a round, who was asked and who counts as silent.
+void LogRound(engine& state, const std::string& job, const claim_round& round,
+              bool granted, const char* cause, instant now) {
+  std::set<uint64_t> silent;
+  for (const auto& [incarnation, one] : state.peers) {
+    if (one.contact && one.candidate && one.silent && !one.superseded) {
+      silent.insert(incarnation);
+    }
+  }
+  log_line line(granted ? "claim_granted" : "claim_refused");
+  line.With("job", job)
+      .With("origin", static_cast<int64_t>(round.attempt.origin))
+      .With("request", static_cast<int64_t>(round.attempt.request))
+      .With("cause", cause)
+      .With("age_ms",
+            std::chrono::floor<milliseconds>(now - round.began).count())
+      .With("told", NameEntries(state, round.told))
+      .With("unconfirmed", NameEntries(state, round.awaited))
+      .With("silent", NameEntries(state, silent));
+  AddLogLine(state, line);
+}
+
 /// Ends a round; its submission no longer counts if it is refused.
 void EndRound(engine& state, const std::string& job, bool granted,
               const char* cause, instant now) {
@@ -165,9 +206,7 @@
     granted = false;
     cause = "seat_given";
   }
-  LogClaim(state, granted ? "claim_granted" : "claim_refused", job,
-           round.attempt, cause, milliseconds{0},
-           std::chrono::floor<milliseconds>(now - round.began));
+  LogRound(state, job, round, granted, cause, now);
   const auto failed =
       round.is_inquiry ? claim_outcome::kAbstained : claim_outcome::kRefused;
   const auto outcome = granted ? claim_outcome::kGranted : failed;
@@ -209,11 +248,13 @@
   if (earlier != state.claim_rounds.end()) {
     EndRound(state, job, false, "superseded", now);
   }
+  const std::set<uint64_t> told = SendNotices(state, job, now);
   state.claim_rounds[job] = {.asker = asker,
                              .attempt = state.job_claims.at(job).attempt,
                              .local = claim.local,
                              .is_inquiry = is_inquiry,
-                             .awaited = SendNotices(state, job, now),
+                             .told = told,
+                             .awaited = told,
                              .began = now};
 }
 
@@ -339,6 +380,12 @@
   }
   const bool noticed =
       known != nullptr && known->attempt == attempt && known->noticed;
+  // A job of which no other submission is known leaves no line here.
+  if (!needs_round && known != nullptr && known->attempt != attempt) {
+    LogClaim(state, "claim_granted", claim.job, attempt,
+             claim.running ? "running" : "ended", claim.timeout,
+             std::chrono::floor<milliseconds>(now - known->made));
+  }
   state.job_claims[claim.job] = {.attempt = attempt,
                                  .timeout = claim.timeout,
                                  .made = now,
@@ -395,7 +442,7 @@
   }
   record.noticed = true;
   const size_t ended =
-      CancelOtherPartsOfJob(state, notice.job, notice.attempt, now);
+      CancelOtherPartsOfJob(state, notice.job, notice.attempt, "notice", now);
   if (ended > 0) {
     state.counts.parts_superseded += ended;
     LogClaim(state, "parts_superseded", notice.job, notice.attempt, "notice",
--- a/packages/fleet/src/caller_cmd.cc
+++ b/packages/fleet/src/caller_cmd.cc
@@ -38,21 +38,32 @@
       .request = request, .code = code, .retry_after = retry_after});
 }
 
-void LogAnswer(engine& state, const std::string& id, const std::string& queue,
-               result_code code, milliseconds age) {
+/// Number of a job's parts that may still run tasks.
+int64_t CountOpenParts(const caller_job& job) {
+  return std::count_if(job.parts.begin(), job.parts.end(),
+                       [](const job_part& one) {
+                         return one.phase == job_part_phase::kOffered;
+                       });
+}
+
+void LogAnswer(engine& state, const caller_job& job, result_code code,
+               instant now) {
   log_line line("job_answered");
-  line.With("job", id)
-      .With("queue", queue)
+  line.With("job", job.spec.id)
+      .With("request", static_cast<int64_t>(job.claim_number))
+      .With("queue", job.queue)
       .With("code", std::string(DescribeResultCode(code).name))
-      .With("age_ms", age.count());
+      .With("open_parts", CountOpenParts(job))
+      .With("age_ms", Between(job.arrived, now).count());
   AddLogLine(state, line);
 }
 
-void LogCallerLeft(engine& state, const std::string& id, instant arrived,
-                   instant now) {
+void LogCallerLeft(engine& state, const std::string& id, int64_t open_parts,
+                   instant arrived, instant now) {
   log_line line("caller_left");
-  line.With("job", id).With(
-      "age_ms", std::chrono::floor<milliseconds>(now - arrived).count());
+  line.With("job", id)
+      .With("open_parts", open_parts)
+      .With("age_ms", Between(arrived, now).count());
   AddLogLine(state, line);
 }
 
@@ -197,8 +208,7 @@
   if (PromisesNotRun(code)) {
     RevokeGrant(state.shares, job.queue, job.share, job.accepted, now);
   }
-  LogAnswer(state, job.spec.id, job.queue, code,
-            std::chrono::floor<milliseconds>(now - job.arrived));
+  LogAnswer(state, job, code, now);
   Answer(state, job.request, code, job.retry_after);
   RemoveJob(state, number,
             code == result_code::kOk ? job_remains::kNone
@@ -643,7 +653,7 @@
 void CallerLeft(engine& state, uint64_t request, instant now) {
   const auto held = state.held_jobs.find(request);
   if (held != state.held_jobs.end()) {
-    LogCallerLeft(state, held->second.arrival.spec.id, held->second.arrived,
+    LogCallerLeft(state, held->second.arrival.spec.id, 0, held->second.arrived,
                   now);
     state.held_jobs.erase(held);
     return;
@@ -655,7 +665,7 @@
                    });
   if (claiming != state.claiming_jobs.end()) {
     const claiming_job& waiting = claiming->second;
-    LogCallerLeft(state, waiting.arrival.spec.id, waiting.arrived, now);
+    LogCallerLeft(state, waiting.arrival.spec.id, 0, waiting.arrived, now);
     const claim_release release{.job = waiting.arrival.spec.id,
                                 .request = claiming->first};
     ReleaseClaims(state, waiting.inquiry.told, release,
@@ -665,7 +675,7 @@
   }
   for (const auto& [number, job] : state.jobs) {
     if (job.request == request) {
-      LogCallerLeft(state, job.spec.id, job.arrived, now);
+      LogCallerLeft(state, job.spec.id, CountOpenParts(job), job.arrived, now);
       CancelParts(state, number);
       RemoveJob(state, number, job_remains::kTasks, now);
       return;
--- a/packages/fleet/src/contact_cmd.cc
+++ b/packages/fleet/src/contact_cmd.cc
@@ -6,6 +6,7 @@
 #include <string>
 #include <vector>
 
+#include "tarragondrift/fleet/engine_cmd.h"
 #include "tarragondrift/fleet/peer_cmd.h"
 #include "tarragondrift/fleet/witness_list_cmd.h"
 
@@ -85,8 +86,26 @@
   one.heartbeat_due = true;
 }
 
+/// Logs that this entry becomes a candidate or is none any more, and what it
+/// controls then.
+void LogCandidate(engine& state, bool candidate) {
+  size_t controlled = 0;
+  size_t runs = 0;
+  for (const auto& [id, one] : state.ticked_workers) {
+    controlled += IsControlled(*one) ? 1 : 0;
+    runs += one->runs.size();
+  }
+  log_line line("candidate_changed");
+  line.With("candidate", candidate ? "yes" : "no")
+      .With("leaving", state.leaving ? "yes" : "no")
+      .With("workers", static_cast<int64_t>(controlled))
+      .With("runs", static_cast<int64_t>(runs));
+  AddLogLine(state, line);
+}
+
 void SetCandidate(engine& state, bool candidate, instant now) {
   if (candidate != state.candidate) {
+    LogCandidate(state, candidate);
     // Until others know, they do not relay claims through this entry.
     AnnounceChange(state, announcement::kToAllContacts);
   }
--- a/packages/fleet/src/part_cmd.cc
+++ b/packages/fleet/src/part_cmd.cc
@@ -87,29 +87,9 @@
                      .retry_after = retry_after});
 }
 
-/// Removes a part and stops its runs.
-void RemovePart(engine& state, part_id id, instant now) {
-  DropQueuedTasks(state, id, 0);
-  const part owner = std::move(state.parts.Get(id));
-  state.part_index.erase({owner.origin, owner.ref});
-  const auto [first, last] = state.parts_by_job.equal_range(owner.job.id);
-  state.parts_by_job.erase(std::find_if(
-      first, last, [id](const auto& entry) { return entry.second == id; }));
-  state.parts.Erase(id);
-  for (const task& one : owner.tasks) {
-    const auto at = state.workers.find(one.worker);
-    if (one.phase == task_phase::kPlaced && at != state.workers.end()) {
-      StopForGood(
-          state, at->second,
-          {.task = {.job = owner.job.id, .step = one.step, .index = one.index},
-           .run = one.run},
-          now);
-    }
-  }
-}
-
-/// Logs the runs that are stopped because their part ended.
-void LogAbandonedRuns(engine& state, const part& owner, instant now) {
+/// Logs the runs that are stopped because their part is removed, and why it is.
+void LogAbandonedRuns(engine& state, const part& owner, const char* cause,
+                      instant now) {
   for (const task& one : owner.tasks) {
     const auto at = state.workers.find(one.worker);
     if (one.phase != task_phase::kPlaced || at == state.workers.end()) {
@@ -123,8 +103,13 @@
     }
     log_line line("run_abandoned");
     line.With("job", owner.job.id)
+        .With("origin", static_cast<int64_t>(owner.origin))
+        .With("request", static_cast<int64_t>(owner.request))
+        .With("step", static_cast<int64_t>(one.step))
         .With("index", static_cast<int64_t>(one.index))
+        .With("run", static_cast<int64_t>(one.run))
         .With("worker", one.worker)
+        .With("cause", cause)
         .With("percent", static_cast<int64_t>(run->second.percent))
         .With(
             "ran_ms",
@@ -134,6 +119,28 @@
   }
 }
 
+/// Removes a part and stops its runs.
+void RemovePart(engine& state, part_id id, const char* cause, instant now) {
+  LogAbandonedRuns(state, state.parts.Get(id), cause, now);
+  DropQueuedTasks(state, id, 0);
+  const part owner = std::move(state.parts.Get(id));
+  state.part_index.erase({owner.origin, owner.ref});
+  const auto [first, last] = state.parts_by_job.equal_range(owner.job.id);
+  state.parts_by_job.erase(std::find_if(
+      first, last, [id](const auto& entry) { return entry.second == id; }));
+  state.parts.Erase(id);
+  for (const task& one : owner.tasks) {
+    const auto at = state.workers.find(one.worker);
+    if (one.phase == task_phase::kPlaced && at != state.workers.end()) {
+      StopForGood(
+          state, at->second,
+          {.task = {.job = owner.job.id, .step = one.step, .index = one.index},
+           .run = one.run},
+          now);
+    }
+  }
+}
+
 /// Returns the reason to refuse a part, or kOk; sets `wait` to the predicted
 /// wait of its last task.
 result_code CheckAdmission(const engine& state, const part& owner,
@@ -267,7 +274,7 @@
   ++one.failed;
   one.avoid = host.listing.id;
   if (one.failed >= owner.attempts) {
-    EndPart(state, id, result_code::kTaskFailed, now);
+    EndPart(state, id, result_code::kTaskFailed, "attempts", now);
     return;
   }
   Enqueue(state, id, number, now);
@@ -288,7 +295,7 @@
       .With("index", static_cast<int64_t>(name.index))
       .With("crashes", static_cast<int64_t>(state.crashes.at(name).crashes));
   AddLogLine(state, line, true);
-  EndPart(state, id, result_code::kTaskFailed, now);
+  EndPart(state, id, result_code::kTaskFailed, "crashes", now);
 }
 
 /// Moves tasks that can no longer be on time behind those that can, unless
@@ -353,7 +360,8 @@
   }
 }
 
-void EndPart(engine& state, part_id id, result_code code, instant now) {
+void EndPart(engine& state, part_id id, result_code code, const char* cause,
+             instant now) {
   const part& owner = state.parts.Get(id);
   const bool started = HasStarted(owner);
   SendResult(state, owner, code, started, state.options.min_retry_after);
@@ -361,13 +369,14 @@
   line.With("job", owner.job.id)
       .With("part", static_cast<int64_t>(owner.ref.part))
       .With("origin", static_cast<int64_t>(owner.origin))
+      .With("request", static_cast<int64_t>(owner.request))
       .With("code", std::string(DescribeResultCode(code).name))
+      .With("cause", cause)
       .With("started", started ? "yes" : "no")
       .With("age_ms",
             std::chrono::floor<milliseconds>(now - owner.arrived).count());
   AddLogLine(state, line);
-  LogAbandonedRuns(state, owner, now);
-  RemovePart(state, id, now);
+  RemovePart(state, id, cause, now);
 }
 
 void AcceptPart(engine& state, uint64_t origin, const part_offer& offer,
@@ -422,25 +431,26 @@
   }
   const part_id id = at->second;
   if (report) {
-    EndPart(state, id, result_code::kCancelledAfterStart, now);
+    EndPart(state, id, result_code::kCancelledAfterStart, "origin", now);
   } else {
-    RemovePart(state, id, now);
+    RemovePart(state, id, "origin", now);
   }
 }
 
 void CancelPartsFrom(engine& state, uint64_t origin, instant now) {
   for (const part_id id : FindParts(
            state, [origin](const part& one) { return one.origin == origin; })) {
-    RemovePart(state, id, now);
+    RemovePart(state, id, "origin_lost", now);
   }
 }
 
 void CancelPartsOfJob(engine& state, const std::string& job, instant now) {
-  CancelOtherPartsOfJob(state, job, {}, now);
+  CancelOtherPartsOfJob(state, job, {}, "cancelled", now);
 }
 
 size_t CancelOtherPartsOfJob(engine& state, const std::string& job,
-                             const job_attempt& attempt, instant now) {
+                             const job_attempt& attempt, const char* cause,
+                             instant now) {
   std::vector<part_id> found;
   const auto [first, last] = state.parts_by_job.equal_range(job);
   for (auto at = first; at != last; ++at) {
@@ -450,7 +460,7 @@
     }
   }
   for (const part_id id : found) {
-    EndPart(state, id, result_code::kCancelledAfterStart, now);
+    EndPart(state, id, result_code::kCancelledAfterStart, cause, now);
   }
   return found.size();
 }
@@ -480,7 +490,7 @@
         EnqueueStep(state, run->owner, step, now);
       }
       if (owner->left == 0) {
-        EndPart(state, run->owner, result_code::kOk, now);
+        EndPart(state, run->owner, result_code::kOk, "done", now);
       }
       return;
     case run_end::kFailed:
@@ -559,7 +569,8 @@
     }
   });
   for (const auto& [id, code] : ended) {
-    EndPart(state, id, code, now);
+    EndPart(state, id, code, now >= state.leave_by ? "leaving" : "expired",
+            now);
   }
 }
 
--- a/packages/fleet/src/progress_cmd.cc
+++ b/packages/fleet/src/progress_cmd.cc
@@ -169,7 +169,7 @@
       SendStop(state, host, name, now);
     } else if (max_slowness < state.speeds.classes.fastest) {
       LogSlowRun(state, host, name, run, "given_up", now);
-      EndPart(state, run.owner, result_code::kDeadlineExceeded, now);
+      EndPart(state, run.owner, result_code::kDeadlineExceeded, "slow", now);
     }
   }
 }
--- a/packages/fleet/src/return_cmd.cc
+++ b/packages/fleet/src/return_cmd.cc
@@ -173,7 +173,7 @@
     EndPart(state, planned.part,
             no_worker ? result_code::kNotRunNoInstance
                       : result_code::kNotRunOverloaded,
-            now);
+            "returned", now);
     return;
   }
   owner.last_return = now;
@@ -185,7 +185,7 @@
   DropLastTasks(state, planned.part, count);
   SendTo(state, origin, message);
   if (state.parts.Get(planned.part).left == 0) {
-    EndPart(state, planned.part, result_code::kOk, now);
+    EndPart(state, planned.part, result_code::kOk, "returned", now);
   }
 }
 
--- a/packages/fleet/src/worker_cmd.cc
+++ b/packages/fleet/src/worker_cmd.cc
@@ -175,7 +175,7 @@
   if (one.phase == control_phase::kNotControlled) {
     return;
   }
-  ++state.counts.lost;
+  ++state.counts.lost_by_cause[cause];
   one.poll_in_flight = false;
   ++one.poll_number;
   one.highest_fence = std::max(one.highest_fence, one.fence);
@@ -381,18 +381,37 @@
   }
 }
 
+/// Logs a run that this entry did not order and stops; the first time only, as
+/// the worker lists it until it has ended.
+void LogUnknownRun(engine& state, const worker& one, const run_name& name) {
+  log_line line("unknown_run_stopped");
+  line.With("worker", one.listing.id)
+      .With("job", name.task.job)
+      .With("step", static_cast<int64_t>(name.task.step))
+      .With("index", static_cast<int64_t>(name.task.index))
+      .With("run", static_cast<int64_t>(name.run))
+      .With("fence", static_cast<int64_t>(one.fence))
+      .With("cause", one.phase == control_phase::kAcquiring
+                         ? "earlier_controller"
+                         : "late_order");
+  AddLogLine(state, line);
+}
+
 /// Reconciles the runs that a worker lists with those ordered there: stops
 /// unknown ones and ends those that have vanished.
 void ReconcileRuns(engine& state, worker& one, const poll_reply& reply,
                    instant now) {
   std::set<run_name> listed;
-  one.has_unknown_runs = false;
+  const bool had_unknown_runs = std::exchange(one.has_unknown_runs, false);
   for (const listed_run& row : reply.running) {
     listed.insert(row.name);
     const auto at = one.runs.find(row.name);
     if (at == one.runs.end()) {
       // Left by an earlier controller, or started by a delayed order.
       one.has_unknown_runs = true;
+      if (!had_unknown_runs) {
+        LogUnknownRun(state, one, row.name);
+      }
       state.out.emplace_back(stop_order{
           .target = TargetFor(one), .name = row.name, .fence = one.fence});
       continue;
@@ -603,6 +622,9 @@
   ++state.counts.starts;
   log_line line("task_start");
   line.With("job", name.task.job)
+      .With("origin", static_cast<int64_t>(owning_part.origin))
+      .With("request", static_cast<int64_t>(owning_part.request))
+      .With("step", static_cast<int64_t>(name.task.step))
       .With("index", static_cast<int64_t>(name.task.index))
       .With("run", static_cast<int64_t>(name.run))
       .With("worker", destination.listing.id)
