--- a/packages/fleet/test/contact_test.cc
+++ b/packages/fleet/test/contact_test.cc
@@ -144,6 +144,17 @@
                now);
   }
 
+  /// Answers the polls of the workers that are being acquired.
+  void HoldWorkers() {
+    for (auto& [id, one] : state.workers) {
+      if (one.phase == control_phase::kAcquiring) {
+        OnPollReply(state, id, one.poll_number,
+                    {.outcome = poll_outcome::kAnswered, .boot_time_ms = 1},
+                    1'000, now);
+      }
+    }
+  }
+
   bool IsUp(uint64_t incarnation) const {
     return std::find(down.begin(), down.end(), incarnation) == down.end();
   }
@@ -248,6 +259,39 @@
   CHECK_FALSE(one.polled.empty());
 }
 
+TEST_CASE(
+    "controllers were not asked whether a job still ran, as others were "
+    "heard again",
+    "[.][unasked]") {
+  const fleet_size size;
+  fleet_fixture one(size, kFirstWeak + 10);
+  one.Advance(3s);
+  for (uint32_t entry = 0; entry < size.strong + size.weak; ++entry) {
+    one.down.push_back(IdentityOf(size, 0, entry).incarnation);
+  }
+  one.requests_contact = true;
+  one.Advance(20s);
+  one.HoldWorkers();
+  REQUIRE(one.state.candidate);
+  REQUIRE_FALSE(one.state.held_workers.empty());
+  worker& busy = *one.state.held_workers.front();
+  busy.runs[{.task = {.job = "job"}, .run = 1}] = {
+      .phase = run_phase::kRunning, .ordered = one.now, .last_order = one.now};
+  busy.lease_expiry = one.now + 5s;
+  one.down.clear();
+  one.told_candidate.clear();
+  one.Advance(3s);
+  REQUIRE(IsControlled(busy));
+  for (const auto& [incarnation, told] : one.told_candidate) {
+    CAPTURE(incarnation);
+    CHECK(told);
+  }
+  busy.runs.clear();
+  one.Advance(15s);
+  CHECK_FALSE(IsControlled(busy));
+  CHECK_FALSE(one.state.candidate);
+}
+
 TEST_CASE("peers learned late that an entry had become a candidate") {
   const fleet_size size;
   fleet_fixture one(size, kFirstWeak + 10);
