fleet: an entry with workers or runs counts as a candidate until it has none

Callers saw two runs of one task at once. A round for a repeated submission asks the peers that count as candidates, and a job's origin in touch with the controller did not know that its caller had left. In a fleet of more than 13 entries an entry counted as a candidate by its rank among those that may be alive. One that began to leave, or that had taken workers over while others were silent and was no longer needed, said at once that it was none; other data centres dropped the contact, and rounds were confirmed without it, while it held workers for as long as their runs went on. A heartbeat's is_candidate means "controls workers or is next in line", and is that now.

Ruled out: that such an entry stays in charge. Workers are assigned by rank among the candidates, so it hands over as before.

Before: the two tests of fail (2 tasks twice at once; 42 peers told that the controller is none).

--- a/packages/fleet/src/contact_cmd.cc
+++ b/packages/fleet/src/contact_cmd.cc
@@ -103,6 +103,16 @@
   AddLogLine(state, line);
 }
 
+/// Whether this entry controls workers, or may still have runs on workers that
+/// it controlled.
+bool MayRunTasks(const engine& state) {
+  return std::any_of(state.ticked_workers.begin(), state.ticked_workers.end(),
+                     [](const auto& entry) {
+                       return IsControlled(*entry.second) ||
+                              !entry.second->runs.empty();
+                     });
+}
+
 void SetCandidate(engine& state, bool candidate, instant now) {
   if (candidate != state.candidate) {
     LogCandidate(state, candidate);
@@ -199,9 +209,11 @@
   }
   const std::set<uint64_t> all_candidates = IncarnationsOf(candidates);
   state.candidates = all_candidates.size();
+  // Rounds of repeated submissions ask candidates only.
   SetCandidate(state,
                all_candidates.contains(state.self.incarnation) ||
-                   IsListedWitness(state, state.self.name),
+                   IsListedWitness(state, state.self.name) ||
+                   MayRunTasks(state),
                now);
   const std::set<uint64_t> remote =
       state.candidate ? std::set<uint64_t>{}
--- a/packages/fleet/test/contact_test.cc
+++ b/packages/fleet/test/contact_test.cc
@@ -261,8 +261,7 @@
 
 TEST_CASE(
     "controllers were not asked whether a job still ran, as others were "
-    "heard again",
-    "[.][unasked]") {
+    "heard again") {
   const fleet_size size;
   fleet_fixture one(size, kFirstWeak + 10);
   one.Advance(3s);
--- a/packages/fleet/test/unasked_controller_test.cc
+++ b/packages/fleet/test/unasked_controller_test.cc
@@ -14,8 +14,7 @@
 
 TEST_CASE_METHOD(large_fleet_fixture,
                  "runs of a controller that left went on beside the next "
-                 "submission of their job",
-                 "[.][unasked]") {
+                 "submission of their job") {
   const std::string job = JobOf(0);
   const uint64_t first = Submit(2, job, kWholeTime);
   Advance(100ms);
