fleet: an entry that has lost most witnesses, but not the store, acquires no workers

An entry that the others and its callers do not reach, while it reaches workers and store, goes on with its jobs. The others take its workers over, and a round for a job's next submission passes once all listed workers are held by entries that can be asked. The entry took workers back by higher fences, about once a second, and started the job's tasks again there.

What the round relies on, that who holds a worker can be asked, now lasts: an entry that hears less than half of the witnesses although the store answers it acquires no worker. It keeps those that it holds until they are taken. Where the store does not answer either, the data centre may be cut off as a whole and goes on by itself, as before.

Ruled out: a rule for workers whose fence was rejected only; an entry could still take over workers of the other side that it never held, within the heartbeat for which their controller counts as holding them.

--- a/packages/daemon/src/fleet_metrics.cc
+++ b/packages/daemon/src/fleet_metrics.cc
@@ -201,6 +201,7 @@
     page << "tarragondrift_workers_lost_total{cause=\"" << cause << "\"} "
          << count << '\n';
   }
+  AppendMetric(page, "tarragondrift_isolations_total", counts.isolations);
   AppendMetric(page, "tarragondrift_workers_lost_with_runs_total",
                counts.workers_lost_with_runs);
   AppendMetric(page, "tarragondrift_runs_lost_total", counts.runs_lost);
--- a/packages/fleet/include/tarragondrift/fleet/engine_base.h
+++ b/packages/fleet/include/tarragondrift/fleet/engine_base.h
@@ -221,6 +221,8 @@
   uint64_t ends_other = 0;
   uint64_t stalls = 0;
   uint64_t acquired = 0;
+  /// Times at which this entry became isolated.
+  uint64_t isolations = 0;
   /// Ends of the control of a worker, by cause.
   std::map<std::string, uint64_t> lost_by_cause;
   /// Workers that were lost while they had runs, and those runs.
@@ -307,6 +309,8 @@
   /// Those that TickWorkers looks at, by id: all that this entry controls or
   /// probes, that have runs, or that were removed from the list.
   std::map<std::string, worker*> ticked_workers;
+  /// This entry acquires no workers; see IsIsolated.
+  bool isolated = false;
   /// Controllers by data centre, for which `worker::assigned` is valid.
   std::map<std::string, std::vector<controller_candidate>> controllers;
   std::map<uint64_t, peer> peers;
--- a/packages/fleet/src/witness_list_cmd.cc
+++ b/packages/fleet/src/witness_list_cmd.cc
@@ -133,6 +133,19 @@
   }
 }
 
+/// Whether the store has answered a recent request for the list.
+bool HasReadWitnesses(const engine& state, instant now) {
+  return state.witnesses.read &&
+         now - *state.witnesses.read < state.options.witness_read_interval * 2;
+}
+
+/// Whether the store has not answered requests for rows lately.
+bool LacksStore(const engine& state, instant now) {
+  return state.rows_unanswered_since &&
+         now - *state.rows_unanswered_since >= state.options.row_wait &&
+         now - state.rows_unanswered_last < kMaxEvidenceAge;
+}
+
 void UpdateMissing(engine& state, instant now) {
   auto& missing = state.witnesses.missing_since;
   std::erase_if(missing, [&state](const auto& entry) {
@@ -262,10 +275,7 @@
 
 bool IsCutOff(const engine& state, instant now) {
   const std::vector<witness>& list = state.witnesses.list.witnesses;
-  return state.rows_unanswered_since &&
-         now - *state.rows_unanswered_since >= state.options.row_wait &&
-         now - state.rows_unanswered_last < kMaxEvidenceAge &&
-         HearsOnlyOwnDataCentre(state, now) &&
+  return LacksStore(state, now) && HearsOnlyOwnDataCentre(state, now) &&
          std::any_of(list.begin(), list.end(), [&state](const witness& one) {
            return one.data_centre != state.self.data_centre;
          });
@@ -353,10 +363,8 @@
         return one.data_centre != list.front().data_centre;
       });
   const bool has_pair = is_spread ? data_centres.size() > 1 : reached > 1;
-  const bool store_reached =
-      state.witnesses.read &&
-      now - *state.witnesses.read < state.options.witness_read_interval * 2;
-  return has_pair || list.size() == reached || (reached > 0 && store_reached);
+  return has_pair || list.size() == reached ||
+         (reached > 0 && HasReadWitnesses(state, now));
 }
 
 bool IsFirstWitness(const engine& state) {
@@ -377,6 +385,21 @@
   return static_cast<size_t>(missing) * 2 <= list.size();
 }
 
+bool IsIsolated(const engine& state, instant now) {
+  const milliseconds longest_job =
+      state.options.max_caller_timeout + state.options.orphan_limit;
+  const std::vector<witness>& list = state.witnesses.list.witnesses;
+  const auto missing =
+      std::count_if(list.begin(), list.end(), [&](const witness& one) {
+        const auto since = state.witnesses.missing_since.find(one.name);
+        return since != state.witnesses.missing_since.end() &&
+               now - std::max(since->second, state.candidate_since) <
+                   longest_job;
+      });
+  return static_cast<size_t>(missing) * 2 > list.size() &&
+         HasReadWitnesses(state, now) && !LacksStore(state, now);
+}
+
 std::optional<witness_list> PlanWitnessList(const engine& state, instant now) {
   const witness_list& known = state.witnesses.list;
   if (!known.former.empty()) {
@@ -411,10 +434,7 @@
   TickSuccession(state, now);
   const bool settled = state.peers_listed && state.candidate &&
                        now - state.started >= state.options.startup_wait;
-  const bool store_reached =
-      state.witnesses.read &&
-      now - *state.witnesses.read < state.options.witness_read_interval * 2;
-  if (!settled || !store_reached) {
+  if (!settled || !HasReadWitnesses(state, now)) {
     state.witnesses.change_due.reset();
     return;
   }
--- a/packages/fleet/src/worker_cmd.cc
+++ b/packages/fleet/src/worker_cmd.cc
@@ -16,6 +16,7 @@
 #include "tarragondrift/fleet/progress_cmd.h"
 #include "tarragondrift/fleet/speed_cmd.h"
 #include "tarragondrift/fleet/step_cmd.h"
+#include "tarragondrift/fleet/witness_list_cmd.h"
 #include "tarragondrift/fleet/worker_list_cmd.h"
 
 namespace tarragondrift::fleet {
@@ -323,7 +324,7 @@
                    bool assigned_to_peer, size_t& release_budget, instant now) {
   switch (one.phase) {
     case control_phase::kNotControlled:
-      if (assigned_here && one.listed && now >= one.retry &&
+      if (assigned_here && !state.isolated && one.listed && now >= one.retry &&
           now >= one.lease_expiry && !IsClaimedByPeer(state, one.listing.id)) {
         if (one.acquire_unanswered) {
           ProbeWorker(state, one, now);
@@ -357,6 +358,22 @@
   }
 }
 
+void UpdateIsolation(engine& state, instant now) {
+  const bool isolated = IsIsolated(state, now);
+  if (std::exchange(state.isolated, isolated) == isolated) {
+    return;
+  }
+  state.counts.isolations += isolated ? 1 : 0;
+  log_line line("isolation_changed");
+  line.With("isolated", isolated ? "yes" : "no")
+      .With("witnesses",
+            static_cast<int64_t>(state.witnesses.list.witnesses.size()))
+      .With("missing",
+            static_cast<int64_t>(state.witnesses.missing_since.size()))
+      .With("held", static_cast<int64_t>(state.held_workers.size()));
+  AddLogLine(state, line, true);
+}
+
 /// Returns how many more workers may begin a handover.
 size_t ReleaseBudget(const engine& state) {
   const size_t held = state.held_workers.size();
@@ -821,6 +838,7 @@
       !HasDiscoveredPeers(state, now)) {
     return;
   }
+  UpdateIsolation(state, now);
   const std::vector<controller_candidate> candidates = ListCandidates(state);
   std::map<std::string, size_t> worker_counts;
   for (const auto& [id, one] : state.workers) {
--- a/packages/fleet/test/claim_fixture.h
+++ b/packages/fleet/test/claim_fixture.h
@@ -183,6 +183,11 @@
                    start_outcome::kNotSent, 0, now);
       return;
     }
+    if (order.fence < fences[order.target.id]) {
+      OnStartReply(entries[at], order.target.id, order.name,
+                   start_outcome::kFenced, 0, now);
+      return;
+    }
     const bool active = std::any_of(
         running.begin(), running.end(),
         [&](const sim_run& run) { return run.name.task == order.name.task; });
@@ -191,7 +196,7 @@
     running.push_back({.entry = at,
                        .worker = order.target.id,
                        .name = order.name,
-                       .ends = now + kRunTime});
+                       .ends = now + run_time});
     OnStartReply(entries[at], order.target.id, order.name,
                  start_outcome::kAccepted, 1'000, now);
   }
@@ -247,7 +252,7 @@
     SubmitJob(entries[at],
               {.request = ++last_request,
                .queue = "q",
-               .spec = MakeJob(job, 2, kRunTime),
+               .spec = MakeJob(job, 2, run_time),
                .caller_timeout = timeout},
               now);
     Settle();
@@ -297,6 +302,7 @@
   static constexpr uint64_t kSamples = 5;
   std::array<engine, kEntries> entries;
   instant now{10s};
+  milliseconds run_time{kRunTime};
   std::set<size_t> cut;
   /// The workers of an entry that is cut off are cut off with it.
   bool cuts_workers = true;
--- a/packages/fleet/test/unasked_controller_test.cc
+++ b/packages/fleet/test/unasked_controller_test.cc
@@ -28,5 +28,50 @@
   CHECK(overlaps == 0);
 }
 
+/// An entry that the others and its callers do not reach, while it reaches the
+/// workers and the store.
+struct unreached_entry_fixture : claim_fixture {
+  unreached_entry_fixture() {
+    run_time = 2'500ms;
+    cuts_only_entries = true;
+    Play(1s);
+  }
+
+  /// Lets time pass while all entries read the list of witnesses.
+  void Play(milliseconds span) {
+    for (const instant end = now + span; now < end;) {
+      for (engine& state : entries) {
+        ApplyWitnessList(state, state.witnesses.list, now);
+      }
+      Advance(std::min<milliseconds>(
+          1s, std::chrono::floor<milliseconds>(end - now)));
+    }
+  }
+};
+
+TEST_CASE_METHOD(unreached_entry_fixture,
+                 "an entry took workers back by higher fences and ran a job "
+                 "beside its next submission") {
+  for (const milliseconds wait : {1'000ms, 1'300ms, 1'600ms, 1'900ms}) {
+    const std::string job = JobOf(0);
+    const uint64_t first = Submit(2, job, 8s);
+    Play(100ms);
+    cut.insert(2);
+    Play(wait);
+    uint64_t second = Submit(1, job, 6'600ms - wait);
+    Play(1'300ms);
+    if (answers.contains(second) &&
+        answers.at(second) == result_code::kOutcomeUnknown) {
+      second = Submit(0, job, 5'300ms - wait);
+    }
+    Play(3s);
+    CHECK(answers.at(second) == result_code::kOk);
+    cut.clear();
+    Play(4s);
+    CHECK(answers.contains(first));
+  }
+  CHECK(overlaps == 0);
+}
+
 }  // namespace
 }  // namespace tarragondrift::fleet
