fleet: a silent controller counts until the jobs that it had have ended

Jobs last for up to 30 s, and their runs end with the leases up to 1.2 s after that. A controller counts for both now. A job that it accepted after it was last heard needs two of three witnesses of its own, of which a later submission meets one.

Test, a repeated submission 30.5 s after the last message: granted before, refused after; granted 31.7 s after it in both.

--- a/packages/fleet/include/tarragondrift/fleet/fleet_options_base.h
+++ b/packages/fleet/include/tarragondrift/fleet/fleet_options_base.h
@@ -254,6 +254,12 @@
   milliseconds cancel_retention{10'000};
 };
 
+/// Returns how long after a job was accepted its last task has ended: at its
+/// deadline, or when the leases of an origin that failed before it are over.
+inline milliseconds LongestJob(const fleet_options& options) {
+  return options.max_caller_timeout + options.orphan_limit;
+}
+
 }  // namespace tarragondrift::fleet
 
 #endif  // TARRAGONDRIFT_FLEET_FLEET_OPTIONS_BASE_H_
--- a/packages/fleet/src/arbiter_cmd.cc
+++ b/packages/fleet/src/arbiter_cmd.cc
@@ -96,7 +96,7 @@
   const auto is_unreachable = [&state, now](const peer& one) {
     return one.silent && !one.superseded &&
            (!one.ever_heard ||
-            now - one.last_heard < state.options.forget_after);
+            now - one.last_heard < LongestJob(state.options));
   };
   const bool any_silent =
       now < state.lost_runs_end ||
--- a/packages/fleet/src/witness_list_cmd.cc
+++ b/packages/fleet/src/witness_list_cmd.cc
@@ -249,10 +249,9 @@
       KnowsAllClaims(state, now)) {
     return true;
   }
-  const milliseconds memory =
-      HeardMostWitnesses(state)
-          ? state.options.claim_memory
-          : state.options.max_caller_timeout + state.options.orphan_limit;
+  const milliseconds memory = HeardMostWitnesses(state)
+                                  ? state.options.claim_memory
+                                  : LongestJob(state.options);
   if (now < std::max(state.started + memory, state.untold_claims_end)) {
     return false;
   }
@@ -386,15 +385,13 @@
 }
 
 bool IsIsolated(const engine& state, instant now) {
-  const milliseconds longest_job =
-      state.options.max_caller_timeout + state.options.orphan_limit;
   const std::vector<witness>& list = state.witnesses.list.witnesses;
   const auto missing =
       std::count_if(list.begin(), list.end(), [&](const witness& one) {
         const auto since = state.witnesses.missing_since.find(one.name);
         return since != state.witnesses.missing_since.end() &&
                now - std::max(since->second, state.candidate_since) <
-                   longest_job;
+                   LongestJob(state.options);
       });
   return static_cast<size_t>(missing) * 2 > list.size() &&
          HasReadWitnesses(state, now) && !LacksStore(state, now);
--- a/packages/fleet/test/unasked_controller_test.cc
+++ b/packages/fleet/test/unasked_controller_test.cc
@@ -28,6 +28,19 @@
   CHECK(overlaps == 0);
 }
 
+TEST_CASE_METHOD(claim_fixture,
+                 "a controller that had not been heard for 30 s no longer "
+                 "counted while runs of its jobs were ending") {
+  cut.insert(2);
+  Advance(entries[0].options.max_caller_timeout + 500ms);
+  const uint64_t early = Submit(0, JobOf(0), kRestOfTime);
+  CHECK(answers.at(early) == result_code::kOutcomeUnknown);
+  Advance(entries[0].options.orphan_limit);
+  const uint64_t later = Submit(0, JobOf(0), kRestOfTime);
+  Advance(kRunTime + 100ms);
+  CHECK(answers.at(later) == result_code::kOk);
+}
+
 /// An entry that the others and its callers do not reach, while it reaches the
 /// workers and the store.
 struct unreached_entry_fixture : claim_fixture {
