fleet: a peer that leaves is not forgotten while it may have runs

Two runs of one task at once, by a test. A leaving entry withdraws its row at the beginning of its grace, and its runs go on. A witness that stopped hearing it then forgot it at once, as its row was gone, and confirmed rounds without it. It is forgotten now when its last heartbeat had no workers, as after a planned stop that was carried out, or after 30 s. It does not delay the start of others.

Ruled out: waiting for 30 s in any case. Each planned stop would make rounds depend on all listed workers being held; a test holds that they do not.

--- a/packages/fleet/src/peer_cmd.cc
+++ b/packages/fleet/src/peer_cmd.cc
@@ -369,12 +369,15 @@
 }
 
 /// Whether a peer can be forgotten. A peer that is listed may be behind a
-/// network partition, however long it has been silent.
+/// network partition, however long it has been silent. One that leaves
+/// withdraws its row first, and may run tasks until it has released its
+/// workers.
 bool IsForgettable(const engine& state, const peer& one, instant now) {
   if (!one.silent || one.in_flight) {
     return false;
   }
-  return one.superseded || (!one.listed && (!one.contact || one.withdrawn ||
+  const bool has_left = one.withdrawn && one.claims.empty();
+  return one.superseded || (!one.listed && (!one.contact || has_left ||
                                             IsRetired(state, one, now)));
 }
 
--- a/packages/fleet/src/worker_cmd.cc
+++ b/packages/fleet/src/worker_cmd.cc
@@ -246,7 +246,8 @@
   bool all_heard = state.peers_listed && !state.peers.empty();
   bool any_awaited = false;
   for (const auto& [incarnation, one] : state.peers) {
-    if (one.contact && one.candidate && !one.superseded &&
+    const bool has_gone = one.superseded || (one.withdrawn && one.silent);
+    if (one.contact && one.candidate && !has_gone &&
         !IsPresumedGone(state, one, now)) {
       all_heard = all_heard && one.ever_heard && one.last_heard >= since;
       any_awaited = any_awaited || (!one.ever_heard &&
--- a/packages/fleet/test/unasked_controller_test.cc
+++ b/packages/fleet/test/unasked_controller_test.cc
@@ -41,6 +41,41 @@
   CHECK(answers.at(later) == result_code::kOk);
 }
 
+TEST_CASE_METHOD(claim_fixture,
+                 "a controller that had withdrawn its row and was cut off was "
+                 "forgotten while it ran a job") {
+  run_time = 2'500ms;
+  const std::string job = JobOf(0);
+  Submit(2, job, 8s);
+  Advance(100ms);
+  BeginLeaving(entries[2], now + 5s, now);
+  RemovePeerRow(entries[0], "entry2", now);
+  RemovePeerRow(entries[1], "entry2", now);
+  Advance(300ms);
+  cut.insert(2);
+  Advance(1'200ms);
+  const uint64_t second = Submit(1, job, 6s);
+  Advance(500ms);
+  CHECK(answers.at(second) == result_code::kOutcomeUnknown);
+  CHECK(overlaps == 0);
+}
+
+TEST_CASE_METHOD(claim_fixture,
+                 "a controller that had left as planned kept repeated "
+                 "submissions from being served") {
+  BeginLeaving(entries[2], now + 5s, now);
+  RemovePeerRow(entries[0], "entry2", now);
+  RemovePeerRow(entries[1], "entry2", now);
+  Advance(2s);
+  REQUIRE(HasLeft(entries[2]));
+  cut.insert(2);
+  cuts_workers = false;
+  Advance(1'200ms);
+  const uint64_t repeated = Submit(1, JobOf(0), kRestOfTime);
+  Advance(kRunTime + 100ms);
+  CHECK(answers.at(repeated) == result_code::kOk);
+}
+
 /// An entry that the others and its callers do not reach, while it reaches the
 /// workers and the store.
 struct unreached_entry_fixture : claim_fixture {
