--- a/packages/fleet/test/unasked_controller_test.cc
+++ b/packages/fleet/test/unasked_controller_test.cc
@@ -76,6 +76,23 @@
   CHECK(answers.at(repeated) == result_code::kOk);
 }
 
+TEST_CASE_METHOD(claim_fixture,
+                 "a process no longer counted while its runs were ending, as "
+                 "another one answered at its address") {
+  cut.insert(2);
+  cuts_workers = false;
+  for (size_t at = 0; at < 2; ++at) {
+    OnDelivery(entries[at], IdentityOf(2).incarnation, delivery::kOtherProcess,
+               now);
+  }
+  const uint64_t early = Submit(0, JobOf(0), kRestOfTime);
+  CHECK(answers.at(early) == result_code::kOutcomeUnknown);
+  Advance(entries[0].options.orphan_limit + 20ms);
+  const uint64_t later = Submit(0, JobOf(0), kRestOfTime);
+  Advance(kRunTime + 100ms);
+  CHECK(answers.at(later) == result_code::kOk);
+}
+
 /// An entry that the others and its callers do not reach, while it reaches the
 /// workers and the store.
 struct unreached_entry_fixture : claim_fixture {
