fleet: offers of an earlier message stream are ignored

A sender that takes an envelope for lost fails its jobs with the receiver, releases their claims and begins a new stream; the next delivery may use a new connection. The receiver took every other stream number for a new stream, so that an envelope of the earlier one that arrived late was accepted: its tasks were started after the job had failed, with leases that later envelopes of the origin had prolonged past the end of its claim. It also cancelled all parts of the later stream. Streams only rise, so a lower number now is an earlier one: its offers are ignored, and it resets nothing.

--- a/packages/fleet/src/peer_cmd.cc
+++ b/packages/fleet/src/peer_cmd.cc
@@ -512,7 +512,9 @@
     return true;
   }
   peer& one = at->second;
-  if (one.ever_heard && one.stream_in != received.stream && !one.silent) {
+  // The sender took it for lost and has failed the jobs that it offers.
+  const bool is_of_earlier_stream = received.stream < one.stream_in;
+  if (one.ever_heard && received.stream > one.stream_in && !one.silent) {
     LogPeerEvent(state, "peer_lost_track", one, "new_stream", now);
     CancelPartsFrom(state, received.from, now);
     FailPartsAt(state, received.from, now);
@@ -531,19 +533,20 @@
     QueueMissedCancels(state, one, now);
   }
   const bool is_first_of_stream =
-      was_silent || !one.ever_heard || one.stream_in != received.stream;
+      was_silent || !one.ever_heard || received.stream > one.stream_in;
   const instant sent = EarliestSent(received, now);
   KeepForEcho(state, one, received, now);
   one.known_alive = std::max(one.known_alive, sent);
   one.ever_heard = true;
   one.last_heard = now;
-  one.stream_in = received.stream;
+  one.stream_in = std::max(one.stream_in, received.stream);
   one.load = received.load;
   one.load_received = now;
   one.claims_told = one.claims_told || received.claims_told;
-  const bool stream_matches = received.heard_stream == one.stream_out;
+  const bool accepts_offers =
+      !is_of_earlier_stream && received.heard_stream == one.stream_out;
   for (const peer_message& message : received.messages) {
-    if (stream_matches || !std::holds_alternative<part_offer>(message)) {
+    if (accepts_offers || !std::holds_alternative<part_offer>(message)) {
       HandleMessage(state, received.from, message, sent, now);
     }
   }
--- a/packages/fleet/test/claim_fixture.h
+++ b/packages/fleet/test/claim_fixture.h
@@ -228,6 +228,16 @@
     if (frozen.contains(to)) {
       return;
     }
+    const bool has_offer =
+        std::any_of(content.messages.begin(), content.messages.end(),
+                    [](const peer_message& message) {
+                      return std::holds_alternative<part_offer>(message);
+                    });
+    if (holds_up_offers && has_offer) {
+      lost.push_back({at, content.to});
+      held_up.push_back(content);
+      return;
+    }
     OnDelivery(entries[at], content.to, delivery::kDelivered, now);
     OnEnvelope(entries[to], content, now);
   }
@@ -313,6 +323,9 @@
   bool store_up = true;
   std::set<size_t> frozen;
   std::vector<std::pair<size_t, uint64_t>> lost;
+  /// Envelopes with offers are reported as lost, and kept to arrive later.
+  bool holds_up_offers = false;
+  std::vector<envelope> held_up;
   std::vector<std::pair<size_t, poll_order>> polls;
   std::map<std::string, uint64_t> fences;
   std::vector<sim_run> running;
--- a/packages/fleet/test/late_message_test.cc
+++ b/packages/fleet/test/late_message_test.cc
@@ -63,11 +63,12 @@
   }
 
   /// Handles an envelope of the origin that was sent at `sent`.
-  void Receive(instant sent, std::vector<peer_message> messages) {
+  void Receive(instant sent, std::vector<peer_message> messages,
+               uint64_t stream = 1) {
     OnEnvelope(state,
                {.from = kOrigin,
                 .to = kSelf,
-                .stream = 1,
+                .stream = stream,
                 .heard_stream = state.peers.contains(kOrigin)
                                     ? state.peers.at(kOrigin).stream_out
                                     : 0,
@@ -143,6 +144,35 @@
   }
 }
 
+TEST_CASE_METHOD(late_fixture,
+                 "an offer of an earlier stream that arrived after its "
+                 "cancellation was started") {
+  const instant offered = now;
+  Advance(100ms);
+  // The origin took the offer's envelope for lost and ended the job.
+  Receive(now, {heartbeat{.from = identity}, part_cancel{.ref = {.job = 7}}},
+          2);
+  Advance(500ms);
+  Receive(now, {heartbeat{.from = identity}}, 2);
+  Advance(60ms);
+  Receive(offered, {MakeOffer()});
+  Advance(40ms);
+  CHECK(starts.empty());
+}
+
+TEST_CASE_METHOD(late_fixture,
+                 "a late envelope of an earlier stream cancelled the parts of "
+                 "the later one") {
+  const instant early = now;
+  Advance(100ms);
+  Receive(now, {heartbeat{.from = identity}}, 2);
+  Receive(now, {MakeOffer()}, 2);
+  Advance(40ms);
+  REQUIRE(state.parts.size() == 1);
+  Receive(early, {heartbeat{.from = identity}});
+  CHECK(state.parts.size() == 1);
+}
+
 TEST_CASE_METHOD(
     late_fixture,
     "the envelope that was the shortest time on its way is echoed") {
--- a/packages/fleet/test/unasked_controller_test.cc
+++ b/packages/fleet/test/unasked_controller_test.cc
@@ -138,5 +138,37 @@
   CHECK(overlaps == 0);
 }
 
+TEST_CASE_METHOD(claim_fixture,
+                 "an offer that arrived after its job had failed was run "
+                 "beside the next submission") {
+  cuts_only_entries = true;
+  run_time = 1s;
+  for (int filler = 0; filler < 4; ++filler) {
+    Submit(filler < 2 ? 1 : 2, JobOf(0), kWholeTime);
+  }
+  Advance(340ms);
+  run_time = 1'500ms;
+  holds_up_offers = true;
+  const std::string job = JobOf(0);
+  const uint64_t first = Submit(2, job, 8s);
+  holds_up_offers = false;
+  REQUIRE(held_up.size() == 1);
+  REQUIRE(held_up.front().to == IdentityOf(0).incarnation);
+  Advance(40ms);
+  REQUIRE(answers.at(first) == result_code::kOutcomeUnknown);
+  Advance(620ms);
+  const uint32_t starts_before = starts;
+  OnEnvelope(entries[0], held_up.front(), now);
+  cut.insert(2);
+  Settle();
+  CHECK(starts == starts_before);
+  Advance(600ms);
+  REQUIRE(overlaps == 0);
+  const uint64_t second = Submit(1, job, 8s);
+  CHECK(overlaps == 0);
+  Advance(2 * run_time);
+  CHECK(answers[second] == result_code::kOk);
+}
+
 }  // namespace
 }  // namespace tarragondrift::fleet
