fleet: a peer without a row is forgotten when its last jobs have ended

Found by the review, shown by a probe: a controller whose row was gone was forgotten 30 s after its last message, 1.2 s before the jobs that it had have ended, and a repeated submission was granted 30.5 s after it. It is kept for 31.2 s, as long as a silent controller counts. Test: granted before, refused after.

--- a/packages/fleet/src/peer_cmd.cc
+++ b/packages/fleet/src/peer_cmd.cc
@@ -377,8 +377,11 @@
     return false;
   }
   const bool has_left = one.withdrawn && one.claims.empty();
-  return one.superseded || (!one.listed && (!one.contact || has_left ||
-                                            IsRetired(state, one, now)));
+  const bool has_no_jobs =
+      one.ever_heard && now - one.last_heard >= LongestJob(state.options);
+  return one.superseded ||
+         (!one.listed && (!one.contact || has_left || has_no_jobs ||
+                          (!one.ever_heard && IsRetired(state, one, now))));
 }
 
 bool IsHeartbeatDue(const engine& state, const peer& one, instant now) {
--- a/packages/fleet/test/unasked_controller_test.cc
+++ b/packages/fleet/test/unasked_controller_test.cc
@@ -93,6 +93,18 @@
   CHECK(answers.at(later) == result_code::kOk);
 }
 
+TEST_CASE_METHOD(claim_fixture,
+                 "a controller whose row was gone was forgotten before its "
+                 "last jobs had ended") {
+  cut.insert(2);
+  RemovePeerRow(entries[0], "entry2", now);
+  RemovePeerRow(entries[1], "entry2", now);
+  Advance(entries[0].options.max_caller_timeout + 500ms);
+  const uint64_t early = Submit(0, JobOf(0), kRestOfTime);
+  Advance(kRunTime + 100ms);
+  CHECK(answers.at(early) == result_code::kOutcomeUnknown);
+}
+
 /// An entry that the others and its callers do not reach, while it reaches the
 /// workers and the store.
 struct unreached_entry_fixture : claim_fixture {
