fleet: an entry is isolated from the moment on in which it does not hear most witnesses

- The witnesses that are missing were listed after the control of workers, up to 100 ms late, so that an entry took over four workers of the others in the moment in which it lost them.
- A fleet that was split evenly was isolated on neither side: two tasks ran twice at once.
- A restarted entry, alone, acquired no worker for 31.5 s although its process had no job from before.
The only survivor of three took workers over through the first fault only.

Isolation goes by the witnesses that are heard now. An entry that does not hear more than half of them acquires no workers until the jobs and parts that it had have ended, and for 5 s at least; a process that never heard most of them is not isolated. It does not offer refused parts elsewhere meanwhile.

--- a/packages/fleet/include/tarragondrift/fleet/engine_base.h
+++ b/packages/fleet/include/tarragondrift/fleet/engine_base.h
@@ -277,6 +277,17 @@
   kToAllContacts,
 };
 
+/// Whether an entry has lost touch with most witnesses; see UpdateIsolation.
+struct isolation_state {
+  /// This process has heard most witnesses, so that it may have jobs that they
+  /// have granted.
+  bool heard_most = false;
+  /// Since when it does not hear them.
+  std::optional<instant> since;
+  /// It acquires no workers.
+  bool holds = false;
+};
+
 /// The whole state of an entry. Only commands change it; they get the time as
 /// an argument.
 struct engine {
@@ -309,8 +320,7 @@
   /// Those that TickWorkers looks at, by id: all that this entry controls or
   /// probes, that have runs, or that were removed from the list.
   std::map<std::string, worker*> ticked_workers;
-  /// This entry acquires no workers; see IsIsolated.
-  bool isolated = false;
+  isolation_state isolation;
   /// Controllers by data centre, for which `worker::assigned` is valid.
   std::map<std::string, std::vector<controller_candidate>> controllers;
   std::map<uint64_t, peer> peers;
--- a/packages/fleet/include/tarragondrift/fleet/fleet_options_base.h
+++ b/packages/fleet/include/tarragondrift/fleet/fleet_options_base.h
@@ -247,6 +247,10 @@
   /// How old the list may be for an entry that hears less than half of the
   /// witnesses to decide claims. Its seats may have been given to others.
   milliseconds lone_witness_list_age{6'000};
+  /// How long an entry that has lost most witnesses, but not the store,
+  /// acquires no workers. Partitions of single entries mostly heal within
+  /// seconds, and a worker that changes hands meanwhile stops its tasks.
+  milliseconds isolation_wait{5'000};
   /// How long a witness waits for all controllers: a round trip, a stop and
   /// its acknowledgement, which may be sent twice.
   milliseconds claim_round_wait{250};
--- a/packages/fleet/include/tarragondrift/fleet/witness_list_cmd.h
+++ b/packages/fleet/include/tarragondrift/fleet/witness_list_cmd.h
@@ -36,10 +36,11 @@
 /// Whether half of the witnesses can be heard, or more.
 bool HearsMostWitnesses(const engine& state);
 
-/// Whether this entry reaches the store, but has lost more than half of the
-/// witnesses within the time that jobs last at most. The others may take over
-/// its workers and run the next submissions of its jobs, so it acquires none.
-bool IsIsolated(const engine& state, instant now);
+/// Updates whether this entry is isolated: it reaches the store, but no longer
+/// hears more than half of the witnesses. The others may take over its workers
+/// and run the next submissions of its jobs. So it acquires none until the jobs
+/// that it had have ended, and for `isolation_wait` at least.
+void UpdateIsolation(engine& state, instant now);
 
 /// Whether this entry decides claims: it knows those that may be active. A
 /// process that has just started does not know the claims of the one before it.
--- a/packages/fleet/src/caller_cmd.cc
+++ b/packages/fleet/src/caller_cmd.cc
@@ -321,6 +321,7 @@
   const queue_config* const queue =
       state.config ? FindQueueByName(*state.config, job.queue) : nullptr;
   if (queue == nullptr || refused.offers >= state.options.max_offers ||
+      state.isolation.holds ||
       IsOff(state.options.without, mechanism::kReoffers)) {
     return false;
   }
--- a/packages/fleet/src/witness_list_cmd.cc
+++ b/packages/fleet/src/witness_list_cmd.cc
@@ -146,6 +146,17 @@
          now - state.rows_unanswered_last < kMaxEvidenceAge;
 }
 
+/// Whether this entry has jobs or parts that it had at a time.
+bool HasJobsSince(const engine& state, instant since) {
+  bool found = std::any_of(
+      state.jobs.begin(), state.jobs.end(),
+      [since](const auto& entry) { return entry.second.accepted <= since; });
+  state.parts.ForEach([&found, since](part_id, const part& one) {
+    found = found || one.arrived <= since;
+  });
+  return found;
+}
+
 void UpdateMissing(engine& state, instant now) {
   auto& missing = state.witnesses.missing_since;
   std::erase_if(missing, [&state](const auto& entry) {
@@ -384,17 +395,39 @@
   return static_cast<size_t>(missing) * 2 <= list.size();
 }
 
-bool IsIsolated(const engine& state, instant now) {
+void UpdateIsolation(engine& state, instant now) {
   const std::vector<witness>& list = state.witnesses.list.witnesses;
-  const auto missing =
-      std::count_if(list.begin(), list.end(), [&](const witness& one) {
-        const auto since = state.witnesses.missing_since.find(one.name);
-        return since != state.witnesses.missing_since.end() &&
-               now - std::max(since->second, state.candidate_since) <
-                   LongestJob(state.options);
+  const auto heard =
+      std::count_if(list.begin(), list.end(), [&state](const witness& one) {
+        return FindWitness(state, one.name) != 0;
       });
-  return static_cast<size_t>(missing) * 2 > list.size() &&
-         HasReadWitnesses(state, now) && !LacksStore(state, now);
+  isolation_state& current = state.isolation;
+  if (list.empty() || static_cast<size_t>(heard) * 2 > list.size()) {
+    current.heard_most = true;
+    current.since.reset();
+  } else if (!current.since &&
+             (current.heard_most || state.candidate_since != instant{})) {
+    current.since = now;
+  }
+  const bool holds = current.since && HasReadWitnesses(state, now) &&
+                     !LacksStore(state, now) &&
+                     (now - *current.since < state.options.isolation_wait ||
+                      HasJobsSince(state, *current.since));
+  if (std::exchange(current.holds, holds) == holds) {
+    return;
+  }
+  state.counts.isolations += holds ? 1 : 0;
+  log_line line("isolation_changed");
+  line.With("isolated", holds ? "yes" : "no")
+      .With("witnesses", static_cast<int64_t>(list.size()))
+      .With("heard", static_cast<int64_t>(heard))
+      .With("held", static_cast<int64_t>(state.held_workers.size()))
+      .With("jobs", static_cast<int64_t>(state.jobs.size()))
+      .With("age_ms",
+            current.since
+                ? std::chrono::floor<milliseconds>(now - *current.since).count()
+                : 0);
+  AddLogLine(state, line, true);
 }
 
 std::optional<witness_list> PlanWitnessList(const engine& state, instant now) {
--- a/packages/fleet/src/worker_cmd.cc
+++ b/packages/fleet/src/worker_cmd.cc
@@ -325,8 +325,9 @@
                    bool assigned_to_peer, size_t& release_budget, instant now) {
   switch (one.phase) {
     case control_phase::kNotControlled:
-      if (assigned_here && !state.isolated && one.listed && now >= one.retry &&
-          now >= one.lease_expiry && !IsClaimedByPeer(state, one.listing.id)) {
+      if (assigned_here && !state.isolation.holds && one.listed &&
+          now >= one.retry && now >= one.lease_expiry &&
+          !IsClaimedByPeer(state, one.listing.id)) {
         if (one.acquire_unanswered) {
           ProbeWorker(state, one, now);
         } else {
@@ -359,22 +360,6 @@
   }
 }
 
-void UpdateIsolation(engine& state, instant now) {
-  const bool isolated = IsIsolated(state, now);
-  if (std::exchange(state.isolated, isolated) == isolated) {
-    return;
-  }
-  state.counts.isolations += isolated ? 1 : 0;
-  log_line line("isolation_changed");
-  line.With("isolated", isolated ? "yes" : "no")
-      .With("witnesses",
-            static_cast<int64_t>(state.witnesses.list.witnesses.size()))
-      .With("missing",
-            static_cast<int64_t>(state.witnesses.missing_since.size()))
-      .With("held", static_cast<int64_t>(state.held_workers.size()));
-  AddLogLine(state, line, true);
-}
-
 /// Returns how many more workers may begin a handover.
 size_t ReleaseBudget(const engine& state) {
   const size_t held = state.held_workers.size();
--- a/packages/fleet/test/claim_fixture.h
+++ b/packages/fleet/test/claim_fixture.h
@@ -26,21 +26,23 @@
 
 using namespace std::chrono_literals;  // NOLINT: literals only
 
-inline constexpr size_t kEntries = 3;
-inline constexpr int kWorkers = 6;
 inline constexpr milliseconds kRunTime{600};
 /// What callers give to the first submission of a job, and, after a broken
 /// connection, to the second one.
 inline constexpr milliseconds kWholeTime{2'800};
 inline constexpr milliseconds kRestOfTime{1'400};
 
-/// Three data centres with an entry and two workers each, and links between the
+/// Data centres with an entry and two workers each, and links between the
 /// entries that can be cut.
-struct claim_fixture {
+template <size_t entry_count>
+struct sized_claim_fixture {
+  static constexpr size_t kEntries = entry_count;
+  static constexpr int kWorkers = 2 * static_cast<int>(kEntries);
+
   /// @param witnesses how many of the entries, from the first on, are
   /// witnesses.
-  explicit claim_fixture(const fleet_options& options = {},
-                         size_t witnesses = kEntries) {
+  explicit sized_claim_fixture(const fleet_options& options = {},
+                               size_t witnesses = kEntries) {
     std::vector<entry_identity> listed;
     for (size_t at = 0; at < witnesses; ++at) {
       listed.push_back(IdentityOf(at));
@@ -221,7 +223,8 @@
 
   void Deliver(size_t at, const envelope& content) {
     const size_t to = content.to - 1;
-    if (cut.contains(at) || cut.contains(to)) {
+    if (cut.contains(at) || cut.contains(to) ||
+        cut_links.contains({std::min(at, to), std::max(at, to)})) {
       lost.push_back({at, content.to});
       return;
     }
@@ -314,6 +317,8 @@
   instant now{10s};
   milliseconds run_time{kRunTime};
   std::set<size_t> cut;
+  /// Pairs of entries that do not reach each other, the lower one first.
+  std::set<std::pair<size_t, size_t>> cut_links;
   /// The workers of an entry that is cut off are cut off with it.
   bool cuts_workers = true;
   /// An entry that is cut off reaches all workers.
@@ -336,6 +341,8 @@
   uint32_t overlaps = 0;
 };
 
+using claim_fixture = sized_claim_fixture<3>;
+
 }  // namespace tarragondrift::fleet
 
 #endif  // TARRAGONDRIFT_FLEET_TEST_CLAIM_FIXTURE_H_
