fleet: a run that was lost is not started again where its job's witnesses are out of reach

If it hears fewer than two while the store answers, another submission may have been granted without its knowledge: a run whose lease is over ends its part with 502 in place of another start. Ruled out: the same for tasks that were not started yet, as a job that is proven by one witness and a row would not start while the other is away.

--- a/packages/fleet/include/tarragondrift/fleet/witness_list_cmd.h
+++ b/packages/fleet/include/tarragondrift/fleet/witness_list_cmd.h
@@ -36,6 +36,10 @@
 /// Whether half of the witnesses can be heard, or more.
 bool HearsMostWitnesses(const engine& state);
 
+/// Whether another submission of a job may be granted without this entry being
+/// told: it reaches the store, but hears fewer than two of the job's witnesses.
+bool MayMissNotices(const engine& state, const std::string& job, instant now);
+
 /// Updates whether this entry is isolated: it reaches the store, but no longer
 /// hears more than half of the witnesses. The others may take over its workers
 /// and run the next submissions of its jobs. So it acquires none until the jobs
--- a/packages/fleet/src/part_cmd.cc
+++ b/packages/fleet/src/part_cmd.cc
@@ -19,6 +19,7 @@
 #include "tarragondrift/fleet/speed_cmd.h"
 #include "tarragondrift/fleet/spread_cmd.h"
 #include "tarragondrift/fleet/step_cmd.h"
+#include "tarragondrift/fleet/witness_list_cmd.h"
 #include "tarragondrift/fleet/worker_cmd.h"
 
 namespace tarragondrift::fleet {
@@ -499,6 +500,13 @@
     case run_end::kStopped:
     case run_end::kLeaseExpired:
       ++state.counts.ends_other;
+      if (result == run_end::kLeaseExpired &&
+          MayMissNotices(state, name.task.job, now)) {
+        // Others may have taken the worker over, and run the job again.
+        EndPart(state, run->owner, result_code::kOutcomeUnknown,
+                "witnesses_lost", now);
+        return;
+      }
       one.avoid = host.listing.id;
       RetryOrGiveUp(state, name.task, run->owner, run->task, now);
       return;
--- a/packages/fleet/src/witness_list_cmd.cc
+++ b/packages/fleet/src/witness_list_cmd.cc
@@ -395,6 +395,19 @@
   return static_cast<size_t>(missing) * 2 <= list.size();
 }
 
+bool MayMissNotices(const engine& state, const std::string& job, instant now) {
+  const auto is_lost = [&state](const std::vector<std::string>& panel) {
+    const auto heard = std::count_if(panel.begin(), panel.end(),
+                                     [&state](const std::string& name) {
+                                       return FindWitness(state, name) != 0;
+                                     });
+    return static_cast<size_t>(heard) < std::min<size_t>(2, panel.size());
+  };
+  const auto panels = ChoosePanels(state, job);
+  return HasReadWitnesses(state, now) && !LacksStore(state, now) &&
+         std::any_of(panels.begin(), panels.end(), is_lost);
+}
+
 void UpdateIsolation(engine& state, instant now) {
   const std::vector<witness>& list = state.witnesses.list.witnesses;
   const auto heard =
--- a/packages/fleet/test/isolation_test.cc
+++ b/packages/fleet/test/isolation_test.cc
@@ -37,6 +37,7 @@
 
 struct two_witnesses_fixture : unreached_fixture<3, 2> {};
 struct three_witnesses_fixture : unreached_fixture<3, 3> {};
+struct five_witnesses_fixture : unreached_fixture<5, 5> {};
 
 /// Cuts an entry off while it runs a job, and submits the job again at the
 /// others until it is served.
@@ -131,5 +132,52 @@
   CHECK(waited <= kRecovery);
 }
 
+TEST_CASE_METHOD(five_witnesses_fixture,
+                 "an entry that heard most witnesses, but not two of a job's, "
+                 "ran it beside its next submission") {
+  size_t served = 0;
+  for (milliseconds wait = 900ms; wait < 2'600ms; wait += 60ms) {
+    const size_t far = 4;
+    std::string job;
+    std::vector<std::string> names;
+    std::set<size_t> two;
+    do {
+      job = JobOf(0);
+      names = WitnessesOf(job);
+      two.clear();
+      for (const std::string& name : names) {
+        const auto at = static_cast<size_t>(name.back() - '0');
+        if (at != far && two.size() < 2) {
+          two.insert(at);
+        }
+      }
+    } while (std::find(names.begin(), names.end(), "entry4") != names.end());
+    Submit(far, job, 8s);
+    Play(100ms);
+    for (const size_t one : two) {
+      cut_links.insert({one, far});
+    }
+    Play(wait);
+    milliseconds rest = 7'700ms - wait;
+    for (size_t trial = 0; trial < 8; ++trial, rest -= 400ms) {
+      const uint64_t request =
+          Submit(trial % 2 == 0 ? *two.begin() : *two.rbegin(), job, rest);
+      Play(400ms);
+      if (!answers.contains(request)) {
+        Play(3s);
+      }
+      if (answers.contains(request) &&
+          answers.at(request) == result_code::kOk) {
+        ++served;
+        break;
+      }
+    }
+    cut_links.clear();
+    Play(4s);
+  }
+  CHECK(served > 0);
+  CHECK(overlaps == 0);
+}
+
 }  // namespace
 }  // namespace tarragondrift::fleet
