fleet: a process without a list of witnesses has not heard most of them

Read as a newcomer: an empty list counted as heard, so that a process which read the list after its first look at workers could count as isolated from its start.

--- a/packages/fleet/include/tarragondrift/fleet/fleet_options_base.h
+++ b/packages/fleet/include/tarragondrift/fleet/fleet_options_base.h
@@ -126,8 +126,8 @@
   /// even if their controller fails as well. Callers resubmit a job 1.3 s after
   /// its origin died.
   milliseconds orphan_limit{1'200};
-  /// A peer that has been silent for this long is forgotten, or, while it is
-  /// listed, gets heartbeats only at retired_interval.
+  /// A peer that has been silent for this long gets heartbeats only at
+  /// retired_interval.
   milliseconds forget_after{30'000};
   milliseconds retired_interval{5'000};
   /// How long an entry that is next in line for workers waits for the list of
--- a/packages/fleet/src/peer_cmd.cc
+++ b/packages/fleet/src/peer_cmd.cc
@@ -587,7 +587,9 @@
     MarkSilent(state, one, "other_process", now);
     one.claims.clear();
     one.ever_heard = true;
-    one.last_heard = now - state.options.forget_after;
+    // Its runs end within orphan_limit.
+    one.last_heard =
+        now - (LongestJob(state.options) - state.options.orphan_limit);
   } else if (outcome == delivery::kLost) {
     one.last_delivery_lost = true;
     one.heartbeat_lost = true;
--- a/packages/fleet/src/witness_list_cmd.cc
+++ b/packages/fleet/src/witness_list_cmd.cc
@@ -415,7 +415,9 @@
         return FindWitness(state, one.name) != 0;
       });
   isolation_state& current = state.isolation;
-  if (list.empty() || static_cast<size_t>(heard) * 2 > list.size()) {
+  if (list.empty()) {
+    current.since.reset();
+  } else if (static_cast<size_t>(heard) * 2 > list.size()) {
     current.heard_most = true;
     current.since.reset();
   } else if (!current.since &&
