--- a/packages/daemon/src/fleet_metrics.cc
+++ b/packages/daemon/src/fleet_metrics.cc
@@ -73,6 +73,15 @@
   return escaped;
 }
 
+void AppendLostWorkers(std::ostringstream& page,
+                       const fleet::engine_counts& counts) {
+  for (const auto& [cause, count] : counts.lost_by_cause) {
+    page << "tarragondrift_workers_lost_total{cause=\"" << cause << "\"} "
+         << count << '\n';
+  }
+  AppendMetric(page, "tarragondrift_isolations_total", counts.isolations);
+}
+
 void AppendSeats(std::ostringstream& page, const fleet::engine_counts& counts) {
   AppendMetric(page, "tarragondrift_seats_taken_total", counts.seats_taken);
   AppendMetric(page, "tarragondrift_seats_told_total", counts.seats_told);
@@ -197,11 +206,7 @@
                counts.ends_other);
   AppendMetric(page, "tarragondrift_stalls_total", counts.stalls);
   AppendMetric(page, "tarragondrift_workers_acquired_total", counts.acquired);
-  for (const auto& [cause, count] : counts.lost_by_cause) {
-    page << "tarragondrift_workers_lost_total{cause=\"" << cause << "\"} "
-         << count << '\n';
-  }
-  AppendMetric(page, "tarragondrift_isolations_total", counts.isolations);
+  AppendLostWorkers(page, counts);
   AppendMetric(page, "tarragondrift_workers_lost_with_runs_total",
                counts.workers_lost_with_runs);
   AppendMetric(page, "tarragondrift_runs_lost_total", counts.runs_lost);
